--- /dev/null
+++ b/toucanwood/declaration/_read.py
@@ -0,0 +1,205 @@
+"""Reading and checking of a declaration's fields."""
+
+import ipaddress
+from collections.abc import Mapping
+from typing import Any
+
+from toucanwood.utils import Fault, Reader
+
+MAX_RATE = 1e6
+MAX_BURST = 1e7
+MIN_DEADLINE_S = 0.01
+MAX_DEADLINE_S = 3600.0
+MIN_SHIFT_INTERVAL_S = 1.0
+MAX_SHIFT_INTERVAL_S = 86400.0
+RESERVED_PREFIX = "/.toucanwood/"
+ACCESS = ("keyed", "open")
+
+
+def read_declaration(
+    mapping: Any, faults: list[Fault], lines: Mapping[str, int] | None
+) -> dict[str, Any]:
+    """Return the checked fields and add every fault to `faults`."""
+    reader = Reader(mapping, "", faults, lines)
+    blocks = reader.read_items("client_blocks", [])
+    fields: dict[str, Any] = {
+        "regions": [_read_region(item) for item in reader.read_items("regions")],
+        "organisations": [
+            _read_organisation(item) for item in reader.read_items("organisations", [])
+        ],
+        "services": [_read_service(item) for item in reader.read_items("services", [])],
+        "drains": _read_drains(reader.read_child("drains")),
+        "links": [_read_link(item) for item in reader.read_items("links", [])],
+        "blocks": [_read_block(item) for item in blocks],
+    }
+    reader.read("control_voters", list, [])
+    reader.close()
+    _check_unique(reader, fields)
+    _check_references(reader, fields)
+    return fields
+
+
+def _read_region(reader: Reader) -> dict[str, Any]:
+    fields = {
+        "name": reader.read("name", str),
+        "data_centres": _read_names(reader, "data_centres"),
+    }
+    if not fields["data_centres"]:
+        reader.add_fault("data_centres", [], "at least one data centre")
+    reader.close()
+    return fields
+
+
+def _read_organisation(reader: Reader) -> dict[str, Any]:
+    fields = {
+        "name": reader.read("name", str),
+        "rate": reader.read_number("rate", low=0, high=MAX_RATE),
+        "burst": reader.read_number("burst", low=1, high=MAX_BURST),
+    }
+    reader.close()
+    return fields
+
+
+def _read_service(reader: Reader) -> dict[str, Any]:
+    fields = {
+        "name": reader.read("name", str),
+        "routes": [_read_route(item) for item in reader.read_items("routes")],
+        "idempotent": reader.read("idempotent", bool, True),
+        "deadline": reader.read_number(
+            "deadline", 2.0, low=MIN_DEADLINE_S, high=MAX_DEADLINE_S
+        ),
+        "shed_statuses": _read_statuses(reader),
+        "shift_cap": _read_shift_cap(reader.read_child("shift_cap")),
+        "weight_by_region": _read_weights(reader),
+    }
+    reader.close()
+    return fields
+
+
+def _read_route(reader: Reader) -> dict[str, Any]:
+    prefix = reader.read("prefix", str)
+    if prefix is not None and not prefix.startswith("/"):
+        reader.add_fault("prefix", prefix, "a path that starts with /")
+    if prefix is not None and prefix.startswith(RESERVED_PREFIX):
+        reader.add_fault("prefix", prefix, f"a path outside {RESERVED_PREFIX}")
+    access = reader.read_choice("access", ACCESS, "keyed")
+    reader.close()
+    return {"prefix": prefix, "access": access}
+
+
+def _read_statuses(reader: Reader) -> list[int]:
+    statuses = reader.read("shed_statuses", list, [])
+    for status in statuses:
+        if not isinstance(status, int) or not 400 <= status <= 599:
+            reader.add_fault("shed_statuses", status, "HTTP statuses in [400, 599]")
+            return []
+    return statuses
+
+
+def _read_shift_cap(reader: Reader) -> dict[str, Any]:
+    fields = {
+        "fraction": reader.read_number("fraction", 1.0, low=0, high=1),
+        "interval": reader.read_number(
+            "interval", 30.0, low=MIN_SHIFT_INTERVAL_S, high=MAX_SHIFT_INTERVAL_S
+        ),
+    }
+    reader.close()
+    return fields
+
+
+def _read_weights(reader: Reader) -> dict[str, float]:
+    weights = reader.read("weight_by_region", Mapping, {})
+    for region, weight in weights.items():
+        if not isinstance(weight, (int, float)) or not 0 <= weight <= 1:
+            reader.add_fault(f"weight_by_region.{region}", weight, "a number in [0, 1]")
+    return dict(weights)
+
+
+def _read_drains(reader: Reader) -> dict[str, Any]:
+    fields = {
+        "regions": _read_names(reader, "regions"),
+        "data_centres": _read_names(reader, "data_centres"),
+    }
+    reader.close()
+    return fields
+
+
+def _read_link(reader: Reader) -> dict[str, Any]:
+    regions = _read_names(reader, "regions")
+    if len(regions) != 2:
+        reader.add_fault("regions", regions, "two region names")
+    fields = {
+        "regions": regions,
+        "capacity_mbit": reader.read_number("capacity_mbit", low=1, high=1e7),
+        "bulk_share": reader.read_number("bulk_share", 0.5, low=0.01, high=1),
+    }
+    reader.close()
+    return fields
+
+
+def _read_block(reader: Reader) -> dict[str, Any]:
+    block = reader.read("block", str)
+    try:
+        ipaddress.ip_network(block or "")
+    except ValueError:
+        if block is not None:
+            reader.add_fault("block", block, "an IP prefix such as 10.0.0.0/8")
+    region = reader.read("region", str)
+    reader.close()
+    return {"block": block, "region": region}
+
+
+def _read_names(reader: Reader, name: str) -> list[str]:
+    names = reader.read(name, list, []) or []
+    if not all(isinstance(item, str) for item in names):
+        reader.add_fault(name, names, "a list of names")
+        return []
+    return names
+
+
+def _check_unique(reader: Reader, fields: dict[str, Any]) -> None:
+    for section in ("regions", "organisations", "services"):
+        _report_repeats(reader, section, [item["name"] for item in fields[section]])
+    centres = [dc for region in fields["regions"] for dc in region["data_centres"]]
+    _report_repeats(reader, "regions", centres)
+    prefixes = [
+        route["prefix"] for item in fields["services"] for route in item["routes"]
+    ]
+    _report_repeats(reader, "services", prefixes)
+    _report_repeats(
+        reader, "client_blocks", [item["block"] for item in fields["blocks"]]
+    )
+
+
+def _report_repeats(reader: Reader, section: str, names: list[Any]) -> None:
+    seen = set()
+    for name in names:
+        if name is not None and name in seen:
+            reader.add_fault(section, name, "each name, prefix and block only once")
+        seen.add(name)
+
+
+def _check_references(reader: Reader, fields: dict[str, Any]) -> None:
+    regions = {item["name"] for item in fields["regions"]}
+    centres = {dc for region in fields["regions"] for dc in region["data_centres"]}
+    known_regions = "a region out of " + ", ".join(sorted(map(str, regions)))
+    known_centres = "a data centre out of " + ", ".join(sorted(map(str, centres)))
+    for name in fields["drains"]["regions"]:
+        if name not in regions:
+            reader.add_fault("drains.regions", name, known_regions)
+    for name in fields["drains"]["data_centres"]:
+        if name not in centres:
+            reader.add_fault("drains.data_centres", name, known_centres)
+    for index, link in enumerate(fields["links"]):
+        for name in link["regions"]:
+            if name not in regions:
+                reader.add_fault(f"links[{index}].regions", name, known_regions)
+    for index, block in enumerate(fields["blocks"]):
+        if block["region"] is not None and block["region"] not in regions:
+            path = f"client_blocks[{index}].region"
+            reader.add_fault(path, block["region"], known_regions)
+    for index, service in enumerate(fields["services"]):
+        for name in service["weight_by_region"]:
+            if name not in regions:
+                path = f"services[{index}].weight_by_region"
+                reader.add_fault(path, name, known_regions)
--- /dev/null
+++ b/toucanwood/settings/__init__.py
@@ -0,0 +1,5 @@
+"""The settings of one instance."""
+
+from toucanwood.settings._settings import PeerAddress, Settings
+
+__all__ = ["PeerAddress", "Settings"]
--- a/toucanwood/utils/__init__.py
+++ b/toucanwood/utils/__init__.py
@@ -8,6 +8,7 @@
     check_range,
 )
 from toucanwood.utils._virtual_time import VirtualTimeLoop, run_virtual
+from toucanwood.utils._yaml import load_yaml
 
 __all__ = [
     "Fault",
@@ -17,5 +18,6 @@
     "VirtualTimeLoop",
     "cancel_and_wait",
     "check_range",
+    "load_yaml",
     "run_virtual",
 ]
--- /dev/null
+++ b/toucanwood/utils/_yaml.py
@@ -0,0 +1,37 @@
+"""YAML documents with the line of each value."""
+
+from typing import Any
+
+import yaml
+
+from toucanwood.utils._validation import Fault, ValidationError
+
+
+def load_yaml(text: str) -> tuple[Any, dict[str, int]]:
+    """Return the document and the line number of each path in it.
+
+    Raises ValidationError when the text is not one YAML document.
+    """
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        lines: dict[str, int] = {}
+        if node is not None:
+            _collect_lines(node, "", lines)
+        return yaml.safe_load(text), lines
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        problem = getattr(error, "problem", None) or "invalid YAML"
+        line = mark.line + 1 if mark else None
+        fault = Fault("document", problem, "a YAML document", line)
+        raise ValidationError([fault]) from None
+
+
+def _collect_lines(node: yaml.Node, path: str, lines: dict[str, int]) -> None:
+    lines[path] = node.start_mark.line + 1
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            child = f"{path}.{key.value}" if path else str(key.value)
+            _collect_lines(value, child, lines)
+    elif isinstance(node, yaml.SequenceNode):
+        for index, value in enumerate(node.value):
+            _collect_lines(value, f"{path}[{index}]", lines)
