Add the command line

Cause: operators need one program with checked input and one-line errors. Change: typer commands over the HTTP interface, documented exit statuses.

--- /dev/null
+++ b/toucanwood/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from toucanwood.cli._commands import app, run
+
+__all__ = ["app", "run"]
--- /dev/null
+++ b/toucanwood/cli/_commands.py
@@ -0,0 +1,228 @@
+"""The commands."""
+
+import json
+import sys
+import uuid
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from toucanwood.cli._client import (
+    OPERATOR_TOKEN_VARIABLE,
+    Client,
+    CommandError,
+    ExitCode,
+    quote_segment,
+    read_token,
+)
+from toucanwood.declaration import Declaration, diff
+from toucanwood.settings import Settings
+from toucanwood.utils import ValidationError, load_yaml
+
+app = typer.Typer(
+    help="Global traffic steering for services that run in several regions.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    add_completion=False,
+    epilog="Exit status: 0 done, 1 refused, 2 invalid input, 3 conflict, 4 "
+    "instance unreachable.",
+)
+keys_app = typer.Typer(help="Issue and withdraw keys.", no_args_is_help=True)
+voters_app = typer.Typer(
+    help="Change which control instances vote.", no_args_is_help=True
+)
+app.add_typer(keys_app, name="keys")
+app.add_typer(voters_app, name="voters")
+
+InstanceOption = Annotated[
+    str, typer.Option("--instance", "-i", help="ip:port of any instance's HTTP side.")
+]
+TokenOption = Annotated[
+    Path | None,
+    typer.Option(
+        help=f"File with the operator token; default: ${OPERATOR_TOKEN_VARIABLE}."
+    ),
+]
+FileArgument = Annotated[Path, typer.Argument(help="YAML file.")]
+DEFAULT_INSTANCE = "127.0.0.1:8101"
+
+
+@app.command()
+def serve(
+    settings: Annotated[Path, typer.Argument(help="YAML file with the settings.")],
+) -> None:
+    """Run an instance until SIGTERM."""
+    from toucanwood.server import serve_forever
+
+    sys.exit(serve_forever(_read_settings(settings)))
+
+
+@app.command()
+def check(file: FileArgument) -> None:
+    """Check a settings file or a declaration and print every fault."""
+    mapping, lines = _load(file)
+    is_settings = isinstance(mapping, dict) and "peer_secret" in mapping
+    kind = Settings if is_settings else Declaration
+    kind.from_config(mapping, lines)
+    typer.echo(f"{file}: valid {kind.__name__.lower()}")
+
+
+@app.command()
+def apply(
+    file: FileArgument,
+    revision: Annotated[
+        int | None,
+        typer.Option(help="Revision that the file is based on; default: current."),
+    ] = None,
+    request_id: Annotated[
+        str | None, typer.Option(help="Id that makes a resend safe; default: new.")
+    ] = None,
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Apply a declaration as a whole."""
+    declaration = _read_declaration(file)
+    client = Client(instance, read_token(token_file))
+    if revision is None:
+        revision = client.get("/declaration")["revision"]
+    request_id = request_id or uuid.uuid4().hex
+    headers = {"If-Match": str(revision), "Toucanwood-Request-Id": request_id}
+    try:
+        result = client.send(
+            "PUT", "/declaration", body=declaration.to_config(), headers=headers
+        )
+    except CommandError as error:
+        hint = f"resend with --revision {revision} --request-id {request_id}"
+        raise CommandError(f"{error}; {hint}", error.exit_code) from None
+    typer.echo(f"accepted as revision {result['revision']}")
+
+
+@app.command(name="diff")
+def show_diff(
+    file: FileArgument,
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Show what applying a declaration would change."""
+    after = _read_declaration(file)
+    current = Client(instance, read_token(token_file)).get("/declaration")
+    before = Declaration.from_config(current["declaration"] or {"regions": []})
+    for change in diff(before, after):
+        typer.echo(str(change))
+
+
+@app.command()
+def get(
+    instance: InstanceOption = DEFAULT_INSTANCE, token_file: TokenOption = None
+) -> None:
+    """Print the declaration in force and its revision."""
+    _print(Client(instance, read_token(token_file)).get("/declaration"))
+
+
+@keys_app.command()
+def issue(
+    organisation: Annotated[str, typer.Argument(help="Name of the organisation.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Issue a key; its secret is printed once and stored nowhere."""
+    client = Client(instance, read_token(token_file))
+    _print(client.send("POST", "/keys", body={"organisation": organisation}))
+
+
+@keys_app.command()
+def withdraw(
+    key_id: Annotated[str, typer.Argument(help="Id of the key.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Withdraw a key for good."""
+    client = Client(instance, read_token(token_file))
+    _print(client.send("DELETE", f"/keys/{quote_segment(key_id)}"))
+
+
+@voters_app.command()
+def add(
+    instance_id: Annotated[str, typer.Argument(help="Id of a control instance.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Add a control instance; it votes once it has caught up."""
+    client = Client(instance, read_token(token_file), timeout=60.0)
+    _print(client.send("POST", f"/voters/{quote_segment(instance_id)}"))
+
+
+@voters_app.command()
+def remove(
+    instance_id: Annotated[str, typer.Argument(help="Id of a control instance.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Remove a control instance from the voters."""
+    client = Client(instance, read_token(token_file), timeout=60.0)
+    _print(client.send("DELETE", f"/voters/{quote_segment(instance_id)}"))
+
+
+@app.command()
+def lookup(
+    service: Annotated[str, typer.Argument(help="Name of the service.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+) -> None:
+    """Ask which entry instances to use, best first."""
+    path = f"/lookup?service={quote_segment(service)}"
+    _print(Client(instance).get(path))
+
+
+@app.command()
+def dump(
+    instance: InstanceOption = DEFAULT_INSTANCE, token_file: TokenOption = None
+) -> None:
+    """Print the full state of one instance as JSON."""
+    _print(Client(instance, read_token(token_file)).get("/dump"))
+
+
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Toucanwood-Request-Id.")],
+    instance: InstanceOption = DEFAULT_INSTANCE,
+    token_file: TokenOption = None,
+) -> None:
+    """Explain the decisions on one request; ask the entry that handled it."""
+    client = Client(instance, read_token(token_file))
+    _print(client.get(f"/explain/{quote_segment(request_id)}"))
+
+
+def run() -> None:
+    """Run the command line; print each failure as plain lines."""
+    try:
+        app()
+    except CommandError as error:
+        typer.echo(f"error: {error}", err=True)
+        sys.exit(error.exit_code)
+    except ValidationError as error:
+        for fault in error.faults:
+            typer.echo(f"error: {fault}", err=True)
+        sys.exit(ExitCode.INVALID)
+
+
+def _load(file: Path) -> tuple[Any, dict[str, int]]:
+    try:
+        return load_yaml(file.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        message = f"{file} can't be read: {error}"
+        raise CommandError(message, ExitCode.INVALID) from None
+
+
+def _read_declaration(file: Path) -> Declaration:
+    mapping, lines = _load(file)
+    return Declaration.from_config(mapping, lines)
+
+
+def _read_settings(file: Path) -> Settings:
+    mapping, lines = _load(file)
+    return Settings.from_config(mapping, lines)
+
+
+def _print(content: Any) -> None:
+    typer.echo(json.dumps(content, indent=2, sort_keys=True))
