--- /dev/null
+++ b/tools/build_binary.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds dist/toucanwood, one executable file that runs in a single process.
+set -eu
+cd "$(dirname "$0")/.."
+venv=${TOUCANWOOD_VENV:-.venv}
+mkdir -p dist
+"$venv/bin/shiv" --quiet --compressed --reproducible \
+  --console-script toucanwood --python "/usr/bin/env python3" \
+  --output-file dist/toucanwood \
+  --requirement requirements-runtime.lock .
+echo "built dist/toucanwood: $(stat -c %s dist/toucanwood) bytes"
