Add the replicated log with durable storage

Cause: declarations, keys and operation records need one durable order of changes that survives the loss of instances.

--- /dev/null
+++ b/toucanwood/consensus/__init__.py
@@ -0,0 +1,17 @@
+"""Durable, replicated log with snapshots and membership changes."""
+
+from toucanwood.consensus._core import Machine
+from toucanwood.consensus._disk import Disk, FileDisk
+from toucanwood.consensus._records import DamagedStorageError, StorageError
+from toucanwood.consensus._replica import Replica
+from toucanwood.consensus._storage import Storage
+
+__all__ = [
+    "DamagedStorageError",
+    "Disk",
+    "FileDisk",
+    "Machine",
+    "Replica",
+    "Storage",
+    "StorageError",
+]
--- /dev/null
+++ b/toucanwood/consensus/_core.py
@@ -0,0 +1,236 @@
+"""State that the parts of a replica share, and the rules that change it."""
+
+import asyncio
+import math
+from enum import Enum
+from typing import Any, Protocol
+
+import attrs
+import structlog
+from returns.result import Failure, Result, Success
+
+from toucanwood.consensus._log import Entry, EntryKind
+from toucanwood.consensus._members import Members
+from toucanwood.consensus._storage import HardState, Snapshot, Storage
+from toucanwood.peering import Transport
+from toucanwood.utils import TaskGroup
+from toucanwood.verdicts import Verdict, doubt, refuse
+
+log = structlog.get_logger()
+
+HEARTBEAT_S = 0.1
+LEASE_S = 0.4
+# Longer than the lease by the clock drift that is tolerated within one lease (25%).
+VOTE_BLOCK_S = 0.5
+MIN_ELECTION_S = 0.5
+MAX_ELECTION_S = 1.0
+# Two attempts fit into one lease, so that one lost message does not end it.
+CALL_TIMEOUT_S = 0.18
+
+
+class Machine(Protocol):
+    """Apply committed commands; equal sequences give equal states."""
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Apply a command and return its result for the proposer."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+
+
+class Role(Enum):
+    """Name the Raft role."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.frozen
+class Pending:
+    """Hold a proposal that waits for its entry to be applied."""
+
+    term: int
+    future: "asyncio.Future[Result[Any, Verdict]]"
+
+
+class Core:
+    """Hold the state of one replica."""
+
+    def __init__(
+        self, transport: Transport, storage: Storage, machine: Machine
+    ) -> None:
+        self.id = transport.instance_id
+        self.transport = transport
+        self.storage = storage
+        self.machine = machine
+        self.tasks = TaskGroup()
+        # Held by every step that changes the term, the vote or a follower's log.
+        self.lock = asyncio.Lock()
+        self.role = Role.FOLLOWER
+        self.leader_id: str | None = None
+        self.members = Members()
+        self.members_index = 0
+        self.commit_index = 0
+        self.applied_index = 0
+        self.heard_at = -math.inf
+        self.timer_reset_at = -math.inf
+        self.pending: dict[int, Pending] = {}
+        self.failure: asyncio.Future[str] | None = None
+        self.is_closed = False
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.storage.state.term
+
+    @property
+    def incarnation(self) -> str:
+        """Return the identity of the disk."""
+        return self.storage.state.incarnation
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this incarnation votes, as known here."""
+        return self.members.is_voter(self.id, self.incarnation)
+
+    def now(self) -> float:
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def load(self) -> None:
+        """Open the storage and restore the machine."""
+        self.failure = asyncio.get_running_loop().create_future()
+        self.storage.on_failure = self.fail
+        snapshot = await self.storage.open()
+        if snapshot is not None:
+            self._restore(snapshot)
+        self.reload_members()
+        # A leader may still hold a lease that this replica confirmed before it
+        # restarted, so it must not vote earlier than that lease has ended.
+        self.heard_at = self.now()
+        self.timer_reset_at = self.heard_at
+
+    def fail(self, reason: str) -> None:
+        """Stop taking part; a failed data directory is never used again."""
+        if self.is_closed or self.failure is None:
+            return
+        log.error("replica_failed", replica=self.id, reason=reason)
+        self.failure.set_result(reason)
+        self.close("replica_failed")
+
+    def close(self, code: str) -> None:
+        """Take no further part; `code` is for the proposals that still wait."""
+        self.is_closed = True
+        self.follow(None)
+        self.abandon_pending(code)
+
+    def hear_leader(self, leader_id: str) -> None:
+        """Record a message from the leader of the current term."""
+        self.heard_at = self.now()
+        self.timer_reset_at = self.heard_at
+        if self.leader_id != leader_id or self.role is not Role.FOLLOWER:
+            self.follow(leader_id)
+
+    def follow(self, leader_id: str | None) -> None:
+        """Become a follower in the current term."""
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+
+    async def enter_term(self, term: int, vote: str | None) -> None:
+        """Make a higher term, or a vote, durable; the caller holds the lock."""
+        if term > self.term:
+            self.follow(None)
+        await self.storage.save_state(HardState(term, vote, self.incarnation))
+
+    async def observe_term(self, term: int) -> None:
+        """Follow into a higher term that a reply named."""
+        async with self.lock:
+            if term > self.term:
+                await self.enter_term(term, None)
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry to the log and use the members that it names."""
+        self.storage.append(entry)
+        if entry.kind == EntryKind.MEMBERS:
+            self.members = Members.unpack(entry.data)
+            self.members_index = entry.index
+
+    def truncate_from(self, index: int) -> None:
+        """Remove entries that another leader has replaced."""
+        if index <= self.commit_index:
+            raise RuntimeError(f"entry {index} is committed and cannot be replaced")
+        self.storage.truncate_from(index)
+        self.reload_members()
+
+    def reload_members(self) -> None:
+        """Use the last members of the log."""
+        self.members, self.members_index = self.find_members(
+            self.storage.log.last_index
+        )
+
+    def find_members(self, index: int) -> tuple[Members, int]:
+        """Return the members in force at an entry, and the entry that set them."""
+        entries = self.storage.log
+        for position in range(index, entries.base_index, -1):
+            entry = entries.get(position)
+            if entry.kind == EntryKind.MEMBERS:
+                return Members.unpack(entry.data), position
+        return self.storage.snapshot_members, self.storage.snapshot_index
+
+    def commit(self, index: int) -> None:
+        """Apply entries up to a committed index."""
+        self.commit_index = max(self.commit_index, index)
+        while self.applied_index < self.commit_index:
+            entry = self.storage.log.get(self.applied_index + 1)
+            self._apply(entry)
+
+    def _apply(self, entry: Entry) -> None:
+        result: Result[Any, Verdict] = Success(None)
+        error = None
+        if entry.kind == EntryKind.COMMAND:
+            try:
+                result = Success(self.machine.apply(entry.index, entry.data))
+            except Exception as caught:
+                # Every replica gets the same error; the proposer must hear of it.
+                log.exception("command_failed", replica=self.id, index=entry.index)
+                error = caught
+        self.applied_index = entry.index
+        pending = self.pending.pop(entry.index, None)
+        if pending is None or pending.future.done():
+            return
+        if pending.term != entry.term:
+            pending.future.set_result(Failure(_refuse_replaced()))
+        elif error is not None:
+            pending.future.set_exception(error)
+        else:
+            pending.future.set_result(result)
+
+    def abandon_pending(self, code: str) -> None:
+        """Answer the waiting proposals, whose fate this replica will not learn."""
+        verdict = doubt(code, "the command may have been committed", status=503)
+        for pending in self.pending.values():
+            if not pending.future.done():
+                pending.future.set_result(Failure(verdict))
+        self.pending.clear()
+
+    async def install(self, snapshot: Snapshot) -> None:
+        """Replace the state by a leader's snapshot; the caller holds the lock."""
+        await self.storage.save_snapshot(snapshot, keep=0)
+        self._restore(snapshot)
+        self.reload_members()
+        self.abandon_pending("commit_unknown")
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        if snapshot.index > 0:
+            self.machine.restore(snapshot.data)
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+
+
+def _refuse_replaced() -> Verdict:
+    message = "another leader replaced the command before it was committed"
+    return refuse("not_leader", message, status=503, retry_after=MAX_ELECTION_S)
--- /dev/null
+++ b/toucanwood/consensus/_disk.py
@@ -0,0 +1,95 @@
+"""Blocking file operations in one data directory, behind a small interface."""
+
+import asyncio
+import os
+import pathlib
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+T = TypeVar("T")
+
+
+class Disk(Protocol):
+    """Access the files of one data directory; every operation may raise OSError."""
+
+    async def run(self, operation: Callable[[], T]) -> T:
+        """Run a blocking operation without blocking the event loop."""
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+
+    def create(self, name: str) -> None:
+        """Create an empty file; an existing one is emptied."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+
+    def rename(self, source: str, target: str) -> None:
+        """Replace `target` by `source`."""
+
+    def sync_directory(self) -> None:
+        """Make created and renamed files durable."""
+
+
+class FileDisk:
+    """Implement the interface on the file system."""
+
+    def __init__(self, directory: str | os.PathLike[str]) -> None:
+        self._directory = pathlib.Path(directory)
+        self._directory.mkdir(parents=True, exist_ok=True)
+
+    async def run(self, operation: Callable[[], T]) -> T:
+        """Run a blocking operation in a thread."""
+        return await asyncio.to_thread(operation)
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(path.name for path in self._directory.iterdir())
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self._directory / name).read_bytes()
+
+    def create(self, name: str) -> None:
+        """Create an empty file; an existing one is emptied."""
+        (self._directory / name).write_bytes(b"")
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file."""
+        with open(self._directory / name, "ab", buffering=0) as file:
+            view = memoryview(data)
+            while view:
+                view = view[file.write(view) :]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        os.truncate(self._directory / name, size)
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        _sync_path(self._directory / name, os.O_RDWR)
+
+    def rename(self, source: str, target: str) -> None:
+        """Replace `target` by `source`."""
+        os.replace(self._directory / source, self._directory / target)
+
+    def sync_directory(self) -> None:
+        """Make created and renamed files durable."""
+        _sync_path(self._directory, os.O_RDONLY)
+
+
+def _sync_path(path: pathlib.Path, flags: int) -> None:
+    descriptor = os.open(path, flags)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/toucanwood/consensus/_election.py
@@ -0,0 +1,191 @@
+"""Elections: pre-vote, votes, and the timer that starts them."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from toucanwood.consensus._core import (
+    CALL_TIMEOUT_S,
+    HEARTBEAT_S,
+    MAX_ELECTION_S,
+    MIN_ELECTION_S,
+    VOTE_BLOCK_S,
+    Core,
+    Role,
+)
+from toucanwood.consensus._messages import RequestVote, TimeoutNow, VoteReply
+from toucanwood.consensus._records import StorageError
+from toucanwood.peering import PeerUnavailable
+
+
+class Election:
+    """Campaign when no leader is heard, and answer the campaigns of others."""
+
+    def __init__(
+        self,
+        core: Core,
+        *,
+        lead: Callable[[], Awaitable[None]],
+        heard_majority_at: Callable[[], float],
+        seed: int | None,
+    ) -> None:
+        self._core = core
+        self._lead = lead
+        self._heard_majority_at = heard_majority_at
+        self._random = random.Random(seed if seed is None else f"{seed}:{core.id}")
+        core.transport.register(RequestVote, self._answer_request)
+        core.transport.register(TimeoutNow, self._campaign_now)
+
+    async def run(self) -> None:
+        """Watch the election timer until the replica stops or fails."""
+        core = self._core
+        while not core.is_closed:
+            await self._wait_timeout()
+            if core.is_voter and core.role is not Role.LEADER:
+                await self._campaign_safely(is_transfer=False)
+
+    async def _wait_timeout(self) -> None:
+        """Sleep until one random timeout has passed without a leader."""
+        core = self._core
+        timeout = self._random.uniform(MIN_ELECTION_S, MAX_ELECTION_S)
+        while True:
+            if core.role is Role.LEADER:
+                self._check_quorum()
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
+            remaining = core.timer_reset_at + timeout - core.now()
+            if remaining <= 0:
+                core.timer_reset_at = core.now()
+                return
+            await asyncio.sleep(remaining)
+
+    def _check_quorum(self) -> None:
+        core = self._core
+        if core.now() - self._heard_majority_at() > MIN_ELECTION_S:
+            core.follow(None)
+            core.timer_reset_at = core.now()
+
+    async def _campaign_safely(self, *, is_transfer: bool) -> None:
+        try:
+            await self._campaign(is_transfer=is_transfer)
+        except StorageError:
+            # The storage has already reported the failure to the core.
+            return
+
+    async def _campaign(self, *, is_transfer: bool) -> None:
+        core = self._core
+        core.leader_id = None
+        term = core.term + 1
+        if not is_transfer and not await self._poll(term, is_pre_vote=True):
+            return
+        async with core.lock:
+            if not self._may_campaign(term):
+                return
+            vote = _name_candidate(core.id, core.incarnation)
+            await core.enter_term(term, vote)
+            core.role = Role.CANDIDATE
+        if not await self._poll(term, is_transfer=is_transfer):
+            return
+        async with core.lock:
+            if core.term == term and core.role is Role.CANDIDATE:
+                await self._lead()
+
+    def _may_campaign(self, term: int) -> bool:
+        """Return whether nothing happened during the pre-vote that ends it."""
+        core = self._core
+        is_unchanged = core.term == term - 1 and core.leader_id is None
+        return is_unchanged and core.is_voter and not core.is_closed
+
+    async def _poll(
+        self, term: int, *, is_pre_vote: bool = False, is_transfer: bool = False
+    ) -> bool:
+        """Ask every voter and return whether a majority agreed."""
+        core = self._core
+        voters = core.members.voters
+        calls = [
+            self._ask(voter, term, is_pre_vote=is_pre_vote, is_transfer=is_transfer)
+            for voter in voters
+            if voter != core.id
+        ]
+        answers = await asyncio.gather(*calls)
+        return 1 + sum(answers) > len(voters) // 2
+
+    async def _ask(
+        self, voter: str, term: int, *, is_pre_vote: bool, is_transfer: bool
+    ) -> bool:
+        core = self._core
+        request = RequestVote(
+            term=term,
+            target=core.members.by_id[voter].incarnation,
+            incarnation=core.incarnation,
+            last_index=core.storage.log.last_index,
+            last_term=core.storage.log.last_term,
+            is_pre_vote=is_pre_vote,
+            is_transfer=is_transfer,
+        )
+        try:
+            reply = await core.transport.call(voter, request, timeout=CALL_TIMEOUT_S)
+        except PeerUnavailable:
+            return False
+        if not isinstance(reply, VoteReply):
+            return False
+        if reply.term > core.term and not reply.granted:
+            await core.observe_term(reply.term)
+        return reply.granted
+
+    async def _answer_request(self, sender: str, request: RequestVote) -> VoteReply:
+        core = self._core
+        if not self._may_answer(request):
+            return VoteReply(0, False)
+        if request.is_pre_vote:
+            granted = request.term > core.term and self._is_up_to_date(request)
+            return VoteReply(core.term, granted)
+        async with core.lock:
+            return await self._vote(sender, request)
+
+    def _may_answer(self, request: RequestVote) -> bool:
+        """Return whether this incarnation is asked and no leader is heard."""
+        core = self._core
+        if core.is_closed or request.target != core.incarnation:
+            return False
+        return request.is_transfer or not self._hears_leader()
+
+    def _hears_leader(self) -> bool:
+        core = self._core
+        heard_at = core.heard_at
+        if core.role is Role.LEADER:
+            heard_at = max(heard_at, self._heard_majority_at())
+        return core.now() - heard_at < VOTE_BLOCK_S
+
+    async def _vote(self, sender: str, request: RequestVote) -> VoteReply:
+        core = self._core
+        # A leader may have been heard while the lock was awaited.
+        if request.term < core.term or not self._may_answer(request):
+            return VoteReply(core.term, False)
+        vote = core.storage.state.vote if request.term == core.term else None
+        candidate = _name_candidate(sender, request.incarnation)
+        is_granted = vote in (None, candidate) and self._is_up_to_date(request)
+        if is_granted:
+            vote = candidate
+        if (request.term, vote) != (core.term, core.storage.state.vote):
+            await core.enter_term(request.term, vote)
+        if is_granted:
+            core.timer_reset_at = core.now()
+        return VoteReply(core.term, is_granted)
+
+    def _is_up_to_date(self, request: RequestVote) -> bool:
+        log = self._core.storage.log
+        own = (log.last_term, log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    async def _campaign_now(self, sender: str, request: TimeoutNow) -> None:
+        """Campaign at the request of a leader that has stopped leading."""
+        core = self._core
+        is_asked = request.target == core.incarnation and request.term == core.term
+        if is_asked and core.is_voter and core.role is Role.FOLLOWER:
+            await self._campaign_safely(is_transfer=True)
+
+
+def _name_candidate(instance_id: str, incarnation: str) -> str:
+    """Tell a candidate apart from one with the same id that lost its disk."""
+    return f"{instance_id}/{incarnation}"
--- /dev/null
+++ b/toucanwood/consensus/_log.py
@@ -0,0 +1,108 @@
+"""The entries of the replicated log in memory."""
+
+from enum import IntEnum
+
+import attrs
+
+
+class EntryKind(IntEnum):
+    """Tell commands from membership entries."""
+
+    COMMAND = 0
+    MEMBERS = 1
+
+
+@attrs.frozen
+class Entry:
+    """Hold one entry of the log."""
+
+    index: int
+    term: int
+    kind: int
+    data: bytes
+
+    def pack(self) -> list[int | bytes]:
+        """Return the fields for a record or message."""
+        return [self.index, self.term, self.kind, self.data]
+
+
+class Log:
+    """Hold consecutive entries that follow a base position."""
+
+    def __init__(self, base_index: int = 0, base_term: int = 0) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries: list[Entry] = []
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where the log does not have it."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def get(self, index: int) -> Entry:
+        """Return one entry."""
+        return self.entries[index - self.base_index - 1]
+
+    def read(self, first: int, max_bytes: int) -> list[Entry]:
+        """Return entries from `first` on, at least one and about `max_bytes`."""
+        batch: list[Entry] = []
+        size = 0
+        for index in range(first, self.last_index + 1):
+            entry = self.get(index)
+            size += len(entry.data)
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"index must be {self.last_index + 1}, got {entry.index}")
+        self.entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entries from `index` on."""
+        if index <= self.base_index:
+            raise ValueError(f"index must be over {self.base_index}, got {index}")
+        del self.entries[index - self.base_index - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Remove the entries up to `index`, which the log has."""
+        term = self.term_at(index)
+        if term is None:
+            raise ValueError(f"index must be in the log, got {index}")
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, index: int, term: int) -> None:
+        """Remove every entry and continue after another position."""
+        self.entries.clear()
+        self.base_index = index
+        self.base_term = term
+
+    def find_hint(self, index: int) -> int:
+        """Return the last index at which a leader's log may agree with this one.
+
+        It skips all entries of the conflicting term in one step.
+        """
+        if index > self.last_index:
+            return self.last_index
+        term = self.term_at(index)
+        while index > self.base_index and self.term_at(index) == term:
+            index -= 1
+        return index
--- /dev/null
+++ b/toucanwood/consensus/_receiver.py
@@ -0,0 +1,118 @@
+"""What a follower does with the messages of a leader."""
+
+import attrs
+
+from toucanwood.consensus._core import Core
+from toucanwood.consensus._log import Entry
+from toucanwood.consensus._members import Members
+from toucanwood.consensus._messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+)
+from toucanwood.consensus._storage import Snapshot
+
+
+@attrs.define
+class _Download:
+    """Hold the chunks of a snapshot received so far."""
+
+    source: tuple[str, int, int]
+    chunks: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+
+
+class Receiver:
+    """Take entries and snapshots from the leader."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._download: _Download | None = None
+        core.transport.register(AppendEntries, self._receive_entries)
+        core.transport.register(InstallSnapshot, self._receive_chunk)
+
+    async def _receive_entries(
+        self, sender: str, request: AppendEntries
+    ) -> AppendReply | None:
+        if self._core.is_closed:
+            return None
+        async with self._core.lock:
+            if not await self._accept_leader(sender, request):
+                return self._reply(success=False, index=0)
+            return await self._store_entries(request)
+
+    async def _receive_chunk(
+        self, sender: str, request: InstallSnapshot
+    ) -> AppendReply | None:
+        if self._core.is_closed:
+            return None
+        async with self._core.lock:
+            if not await self._accept_leader(sender, request):
+                return self._reply(success=False, index=0)
+            return await self._store_chunk(sender, request)
+
+    async def _accept_leader(
+        self, sender: str, request: AppendEntries | InstallSnapshot
+    ) -> bool:
+        """Return whether the sender leads in this replica's term, or a new one."""
+        core = self._core
+        if request.target != core.incarnation or request.term < core.term:
+            return False
+        if request.term > core.term:
+            await core.enter_term(request.term, None)
+        core.hear_leader(sender)
+        return True
+
+    async def _store_entries(self, request: AppendEntries) -> AppendReply:
+        core = self._core
+        log = core.storage.log
+        if request.previous_index < log.base_index:
+            # Entries up to the base are committed, so they agree with the leader's.
+            return self._reply(success=True, index=core.commit_index)
+        if log.term_at(request.previous_index) != request.previous_term:
+            hint = max(log.find_hint(request.previous_index), core.commit_index)
+            return self._reply(success=False, index=hint)
+        for packed in request.entries:
+            self._store_entry(Entry(*packed))
+        await core.storage.sync()
+        matched = request.previous_index + len(request.entries)
+        core.commit(min(request.commit_index, matched))
+        return self._reply(success=True, index=matched)
+
+    def _store_entry(self, entry: Entry) -> None:
+        core = self._core
+        term = core.storage.log.term_at(entry.index)
+        if term == entry.term:
+            return
+        if term is not None:
+            core.truncate_from(entry.index)
+        core.append(entry)
+
+    async def _store_chunk(self, sender: str, request: InstallSnapshot) -> AppendReply:
+        core = self._core
+        if request.index <= core.commit_index and core.members.by_id:
+            return self._reply(success=True, index=core.commit_index)
+        source = (sender, request.term, request.index)
+        if request.offset == 0:
+            self._download = _Download(source)
+        download = self._download
+        if download is None or download.source != source:
+            return self._reply(success=False, index=core.commit_index)
+        if request.offset == download.size:
+            download.chunks.append(request.data)
+            download.size += len(request.data)
+        elif request.offset + len(request.data) != download.size:
+            return self._reply(success=False, index=core.commit_index)
+        if request.is_last:
+            await self._install(request, b"".join(download.chunks))
+        return self._reply(success=True, index=core.commit_index)
+
+    async def _install(self, request: InstallSnapshot, data: bytes) -> None:
+        self._download = None
+        members = Members.unpack(request.members)
+        snapshot = Snapshot(request.index, request.snapshot_term, members, data)
+        await self._core.install(snapshot)
+
+    def _reply(self, *, success: bool, index: int) -> AppendReply:
+        core = self._core
+        return AppendReply(core.term, core.incarnation, success, index)
--- /dev/null
+++ b/toucanwood/consensus/_records.py
@@ -0,0 +1,89 @@
+"""Checksummed records in append-only files."""
+
+import struct
+import zlib
+from typing import Any
+
+import attrs
+import msgpack
+
+_MAGIC = b"\xd7W"
+_LENGTHS = struct.Struct(">IQ")
+_CHECK = struct.Struct(">I")
+_HEADER_BYTES = len(_MAGIC) + _LENGTHS.size + _CHECK.size
+
+
+class StorageError(Exception):
+    """Report that the data directory can no longer be used, and why."""
+
+
+class DamagedStorageError(StorageError):
+    """Report a data directory whose content is damaged."""
+
+
+@attrs.frozen
+class _Record:
+    content: Any
+    synced: int
+    end: int
+
+
+def pack_record(content: Any, *, synced: int = 0) -> bytes:
+    """Encode one record; `synced` is the length of the file known to be durable."""
+    body = msgpack.packb(content)
+    lengths = _LENGTHS.pack(len(body), synced)
+    check = zlib.crc32(body, zlib.crc32(lengths))
+    return b"".join((_MAGIC, lengths, _CHECK.pack(check), body))
+
+
+def read_records(data: bytes, name: str) -> tuple[list[Any], int]:
+    """Return the records and the length up to a torn tail.
+
+    Raises DamagedStorageError for a bad record in a part that had been synced.
+    """
+    records = []
+    offset = 0
+    while offset < len(data):
+        record = _read_at(data, offset)
+        if record is None:
+            _check_torn(data, offset, name)
+            break
+        records.append(record.content)
+        offset = record.end
+    return records, offset
+
+
+def read_single(data: bytes, name: str) -> Any:
+    """Return the only record of a file that is always written as a whole."""
+    record = _read_at(data, 0)
+    if record is None or record.end != len(data):
+        raise DamagedStorageError(f"file {name} is damaged: checksum does not match")
+    return record.content
+
+
+def _read_at(data: bytes, offset: int) -> _Record | None:
+    start = offset + _HEADER_BYTES
+    if start > len(data) or data[offset : offset + len(_MAGIC)] != _MAGIC:
+        return None
+    lengths = data[offset + len(_MAGIC) : start - _CHECK.size]
+    size, synced = _LENGTHS.unpack(lengths)
+    if start + size > len(data):
+        return None
+    body = data[start : start + size]
+    (check,) = _CHECK.unpack(data[start - _CHECK.size : start])
+    if zlib.crc32(body, zlib.crc32(lengths)) != check:
+        return None
+    return _Record(msgpack.unpackb(body, strict_map_key=False), synced, start + size)
+
+
+def _check_torn(data: bytes, offset: int, name: str) -> None:
+    """Raise if a later record proves that the bad one had been synced."""
+    position = data.find(_MAGIC, offset + 1)
+    while position >= 0:
+        later = _read_at(data, position)
+        if later is not None and later.synced > offset:
+            raise DamagedStorageError(
+                f"file {name} is damaged at byte {offset}: "
+                f"the record had been synced before the one at byte {position}"
+            )
+        position = data.find(_MAGIC, position + 1)
--- /dev/null
+++ b/toucanwood/consensus/_replica.py
@@ -0,0 +1,196 @@
+"""One replica of the replicated log."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+import structlog
+from returns.result import Failure, Result
+
+from toucanwood.consensus._changes import Changes, submit_entry
+from toucanwood.consensus._core import MAX_ELECTION_S, Core, Machine
+from toucanwood.consensus._election import Election
+from toucanwood.consensus._formation import Formation
+from toucanwood.consensus._freshness import Freshness
+from toucanwood.consensus._leadership import Leadership
+from toucanwood.consensus._log import EntryKind
+from toucanwood.consensus._receiver import Receiver
+from toucanwood.consensus._records import StorageError
+from toucanwood.consensus._storage import Snapshot, Storage
+from toucanwood.peering import Transport
+from toucanwood.utils import check_range
+from toucanwood.verdicts import Verdict, refuse
+
+log = structlog.get_logger()
+
+# One append message must stay far below the frame limit of 16 MiB.
+MAX_COMMAND_BYTES = 1024 * 1024
+MAX_PENDING_PROPOSALS = 10_000
+SNAPSHOT_CHECK_S = 0.1
+
+
+class Replica:
+    """Keep a machine equal on all members by a replicated log (Raft).
+
+    The algorithm follows Ongaro, "Consensus: Bridging Theory and Practice" (2014),
+    with pre-vote, check-quorum and a leader lease.
+    """
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        storage: Storage,
+        machine: Machine,
+        voters: Iterable[str],
+        snapshot_entries: int = 1000,
+        keep_entries: int = 500,
+        seed: int | None = None,
+    ) -> None:
+        check_range("snapshot_entries", snapshot_entries, low=1)
+        check_range("keep_entries", keep_entries, low=0)
+        self._core = Core(transport, storage, machine)
+        self._leadership = Leadership(self._core)
+        self._election = Election(
+            self._core,
+            lead=self._leadership.lead,
+            heard_majority_at=self._leadership.heard_majority_at,
+            seed=seed,
+        )
+        self._receiver = Receiver(self._core)
+        self._changes = Changes(self._core, self._leadership)
+        self._formation = Formation(self._core, list(voters))
+        self._freshness = Freshness(self._core, self._leadership)
+        self._snapshot_entries = snapshot_entries
+        self._keep_entries = keep_entries
+
+    async def start(self) -> None:
+        """Load the data directory and take part.
+
+        Raises DamagedStorageError when the data directory is damaged.
+        """
+        core = self._core
+        await core.load()
+        core.tasks.start(self._formation.run(), name="formation")
+        core.tasks.start(self._election.run(), name="election")
+        core.tasks.start(self._changes.run(), name="membership-changes")
+        core.tasks.start(self._freshness.run(), name="freshness")
+        core.tasks.start(self._compact(), name="compaction")
+
+    async def stop(self) -> None:
+        """Hand over the leadership, stop every task and finish writes in progress."""
+        if not self._core.is_closed:
+            await self._leadership.transfer()
+        await self._core.tasks.stop()
+        self._core.close("stopped")
+        await self._core.storage.close()
+
+    async def wait_failed(self) -> str:
+        """Wait until the data directory fails and return the reason.
+
+        The process must exit then; the replica has stopped taking part.
+        """
+        if self._core.failure is None:
+            raise RuntimeError("replica must be started first")
+        return await asyncio.shield(self._core.failure)
+
+    async def propose(self, command: bytes, *, timeout: float) -> Result[Any, Verdict]:
+        """Commit and apply a command on the leader; `timeout` is in seconds.
+
+        The result is that of `machine.apply`. A failure says whether the command may
+        have been committed. Raises what `machine.apply` raised.
+        """
+        check_range("timeout", timeout, low=0.0)
+        check_range("len(command)", len(command), high=MAX_COMMAND_BYTES)
+        if not self._leadership.is_active:
+            return Failure(self._refuse_not_leader())
+        if len(self._core.pending) >= MAX_PENDING_PROPOSALS:
+            message = f"{MAX_PENDING_PROPOSALS} proposals are waiting"
+            verdict = refuse("overloaded", message, status=503, retry_after=1.0)
+            return Failure(verdict)
+        return await submit_entry(
+            self._core,
+            self._leadership,
+            EntryKind.COMMAND,
+            command,
+            timeout=timeout,
+        )
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and holds a valid lease."""
+        return self._leadership.is_leader()
+
+    def leader(self) -> str | None:
+        """Return the id of the leader, if one is known."""
+        return self._core.leader_id
+
+    def lease_age(self) -> float:
+        """Return for how many seconds the applied state may have been out of date.
+
+        Infinite before the first proof.
+        """
+        return self._freshness.age()
+
+    async def add_learner(self, instance_id: str) -> Result[Any, Verdict]:
+        """Add a member that receives the log and does not vote."""
+        return await self._changes.add_learner(instance_id)
+
+    async def promote(self, instance_id: str) -> Result[Any, Verdict]:
+        """Let a learner vote; refused until it has caught up."""
+        return await self._changes.promote(instance_id)
+
+    async def remove(self, instance_id: str) -> Result[Any, Verdict]:
+        """Remove a member."""
+        return await self._changes.remove(instance_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Return a JSON-serialisable description of the state."""
+        core = self._core
+        age = self.lease_age()
+        return {
+            "id": core.id,
+            "incarnation": core.incarnation,
+            "role": core.role.value,
+            "term": core.term,
+            "leader": core.leader_id,
+            "is_leader": self.is_leader(),
+            "lease_age": age if age < float("inf") else None,
+            "last_index": core.storage.log.last_index,
+            "synced_index": core.storage.synced_index,
+            "commit_index": core.commit_index,
+            "applied_index": core.applied_index,
+            "snapshot_index": core.storage.snapshot_index,
+            "log_entries": len(core.storage.log.entries),
+            "members": core.members.describe(),
+            "failure": core.storage.failure,
+        }
+
+    async def _compact(self) -> None:
+        """Store a snapshot whenever enough entries have been applied."""
+        core = self._core
+        while not core.is_closed:
+            await asyncio.sleep(SNAPSHOT_CHECK_S)
+            grown = core.applied_index - core.storage.snapshot_index
+            if grown < self._snapshot_entries:
+                continue
+            try:
+                await self._save_snapshot()
+            except StorageError:
+                return
+
+    async def _save_snapshot(self) -> None:
+        core = self._core
+        index = core.applied_index
+        snapshot = Snapshot(
+            index,
+            core.storage.log.term_at(index) or 0,
+            core.find_members(index)[0],
+            core.machine.snapshot(),
+        )
+        await core.storage.save_snapshot(snapshot, keep=self._keep_entries)
+        log.info("snapshot_saved", replica=core.id, index=index)
+
+    def _refuse_not_leader(self) -> Verdict:
+        leader = self._core.leader_id
+        message = f"this replica does not lead; the leader is {leader}"
+        return refuse("not_leader", message, status=503, retry_after=MAX_ELECTION_S)
--- /dev/null
+++ b/toucanwood/consensus/_storage.py
@@ -0,0 +1,289 @@
+"""Durable state of one replica: hard state, log and snapshot."""
+
+import asyncio
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import attrs
+import structlog
+
+from toucanwood.consensus._disk import Disk
+from toucanwood.consensus._log import Entry, Log
+from toucanwood.consensus._members import Members
+from toucanwood.consensus._records import (
+    DamagedStorageError,
+    StorageError,
+    pack_record,
+    read_records,
+    read_single,
+)
+
+T = TypeVar("T")
+log = structlog.get_logger()
+
+STATE_FILE = "state"
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+TEMPORARY_SUFFIX = ".tmp"
+
+_BASE = 0
+_ENTRY = 1
+_TRUNCATE = 2
+
+
+@attrs.frozen
+class HardState:
+    """Hold what must be durable before it is used."""
+
+    term: int
+    vote: str | None
+    incarnation: str
+
+
+@attrs.frozen
+class Snapshot:
+    """Hold the state of the machine after an entry."""
+
+    index: int
+    term: int
+    members: Members
+    data: bytes
+
+
+class Storage:
+    """Own the files of one replica; any error makes it unusable for good."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.state = HardState(0, None, "")
+        self.log = Log()
+        self.snapshot_index = 0
+        self.snapshot_members = Members()
+        self.synced_index = 0
+        self.failure: str | None = None
+        self.on_failure: Callable[[str], None] = lambda reason: None
+        self._disk = disk
+        self._buffer: list[list[Any]] = []
+        self._log_bytes = 0
+        self._appended = 0
+        self._durable = 0
+        self._flush_task: asyncio.Task[None] | None = None
+        self._log_lock = asyncio.Lock()
+        self._state_lock = asyncio.Lock()
+        self._snapshot_lock = asyncio.Lock()
+
+    async def open(self) -> Snapshot | None:
+        """Load the files and return the snapshot; an empty directory gets a new one.
+
+        Raises DamagedStorageError when a file is damaged or missing.
+        """
+        names = await self._run(self._disk.names)
+        if STATE_FILE in names:
+            return await self._load(names)
+        await self._initialise(names)
+        return None
+
+    async def save_state(self, state: HardState) -> None:
+        """Make the term, vote and incarnation durable, then use them."""
+        await self._shield(self._save_state(state))
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry; `sync` makes it durable."""
+        self.log.append(entry)
+        self._add_record([_ENTRY, *entry.pack()])
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entries from `index` on; `sync` makes it durable."""
+        self.log.truncate_from(index)
+        self.synced_index = min(self.synced_index, index - 1)
+        self._add_record([_TRUNCATE, index])
+
+    async def sync(self) -> None:
+        """Wait until everything added so far is durable; callers share one fsync."""
+        target = self._appended
+        while self._durable < target:
+            if self._flush_task is None:
+                self._flush_task = asyncio.create_task(self._flush())
+            await asyncio.shield(self._flush_task)
+
+    async def save_snapshot(self, snapshot: Snapshot, *, keep: int) -> None:
+        """Store a snapshot and drop log entries, except the last `keep` before it."""
+        await self._shield(self._save_snapshot(snapshot, keep))
+
+    async def read_snapshot(self) -> Snapshot:
+        """Return the stored snapshot."""
+        data = await self._run(lambda: self._disk.read(SNAPSHOT_FILE))
+        return _unpack_snapshot(data)
+
+    async def close(self) -> None:
+        """Wait for writes in progress."""
+        async with self._log_lock, self._state_lock, self._snapshot_lock:
+            return
+
+    async def _save_state(self, state: HardState) -> None:
+        async with self._state_lock:
+            await self._replace(STATE_FILE, pack_record(attrs.astuple(state)))
+            self.state = state
+
+    async def _save_snapshot(self, snapshot: Snapshot, keep: int) -> None:
+        async with self._snapshot_lock:
+            if snapshot.index < self.snapshot_index:
+                return
+            members = snapshot.members.pack()
+            content = [snapshot.index, snapshot.term, members, snapshot.data]
+            await self._replace(SNAPSHOT_FILE, pack_record(content))
+            self.snapshot_index = snapshot.index
+            self.snapshot_members = snapshot.members
+            async with self._log_lock:
+                self._drop_entries(snapshot, keep)
+                await self._rewrite_log()
+
+    def _drop_entries(self, snapshot: Snapshot, keep: int) -> None:
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            first = max(snapshot.index - keep, self.log.base_index)
+            self.log.compact(first)
+        elif snapshot.index > self.log.base_index:
+            self.log.reset(snapshot.index, snapshot.term)
+
+    async def _rewrite_log(self) -> None:
+        """Replace the log file by one with the entries in memory."""
+        self._buffer.clear()
+        target = self._appended
+        last_index = self.log.last_index
+        records: list[list[Any]] = [[_BASE, self.log.base_index, self.log.base_term]]
+        records += [[_ENTRY, *entry.pack()] for entry in self.log.entries]
+        data = b"".join(pack_record(record) for record in records)
+        await self._replace(LOG_FILE, data)
+        self._log_bytes = len(data)
+        self._finish_sync(target, last_index)
+
+    def _add_record(self, record: list[Any]) -> None:
+        self._buffer.append(record)
+        self._appended += 1
+
+    async def _flush(self) -> None:
+        try:
+            async with self._log_lock:
+                await self._write_buffer()
+        finally:
+            self._flush_task = None
+
+    async def _write_buffer(self) -> None:
+        records = self._buffer
+        self._buffer = []
+        target = self._appended
+        last_index = self.log.last_index
+        synced = self._log_bytes
+        data = b"".join(pack_record(record, synced=synced) for record in records)
+
+        def write() -> None:
+            self._disk.append(LOG_FILE, data)
+            self._disk.sync(LOG_FILE)
+
+        await self._run(write)
+        self._log_bytes += len(data)
+        self._finish_sync(target, last_index)
+
+    def _finish_sync(self, target: int, last_index: int) -> None:
+        """Count records as durable; entries truncated meanwhile do not count."""
+        self._durable = target
+        truncations = [r[1] - 1 for r in self._buffer if r[0] == _TRUNCATE]
+        self.synced_index = min([last_index, *truncations])
+
+    async def _replace(self, name: str, data: bytes) -> None:
+        temporary = name + TEMPORARY_SUFFIX
+
+        def write() -> None:
+            self._disk.create(temporary)
+            self._disk.append(temporary, data)
+            self._disk.sync(temporary)
+            self._disk.rename(temporary, name)
+            self._disk.sync_directory()
+
+        await self._run(write)
+
+    async def _initialise(self, names: list[str]) -> None:
+        """Create the log before the state, whose presence marks a complete start."""
+        if SNAPSHOT_FILE in names:
+            raise DamagedStorageError(f"file {STATE_FILE} is missing")
+        if LOG_FILE in names:
+            data = await self._run(lambda: self._disk.read(LOG_FILE))
+            if len(read_records(data, LOG_FILE)[0]) > 1:
+                raise DamagedStorageError(f"file {STATE_FILE} is missing")
+        await self._rewrite_log()
+        await self.save_state(HardState(0, None, uuid.uuid4().hex))
+
+    async def _load(self, names: list[str]) -> Snapshot | None:
+        if LOG_FILE not in names:
+            raise DamagedStorageError(f"file {LOG_FILE} is missing")
+        state = await self._run(lambda: self._disk.read(STATE_FILE))
+        self.state = HardState(*read_single(state, STATE_FILE))
+        snapshot = None
+        if SNAPSHOT_FILE in names:
+            snapshot = await self.read_snapshot()
+            self.snapshot_index = snapshot.index
+            self.snapshot_members = snapshot.members
+        await self._load_log()
+        await self._join_log(snapshot)
+        return snapshot
+
+    async def _load_log(self) -> None:
+        data = await self._run(lambda: self._disk.read(LOG_FILE))
+        records, size = read_records(data, LOG_FILE)
+        if size < len(data):
+            log.warning("log_tail_truncated", bytes=len(data) - size)
+            await self._run(lambda: self._truncate_file(size))
+        if not records or records[0][0] != _BASE:
+            raise DamagedStorageError(f"file {LOG_FILE} has no base record")
+        self._log_bytes = size
+        self.log.reset(records[0][1], records[0][2])
+        for record in records[1:]:
+            self._replay(record)
+        self.synced_index = self.log.last_index
+
+    def _truncate_file(self, size: int) -> None:
+        self._disk.truncate(LOG_FILE, size)
+        self._disk.sync(LOG_FILE)
+
+    def _replay(self, record: list[Any]) -> None:
+        try:
+            if record[0] == _ENTRY:
+                self.log.append(Entry(*record[1:]))
+            else:
+                self.log.truncate_from(record[1])
+        except ValueError as error:
+            raise DamagedStorageError(f"file {LOG_FILE} is damaged: {error}") from error
+
+    async def _join_log(self, snapshot: Snapshot | None) -> None:
+        """Check that the log continues the snapshot, or drop a log it replaced."""
+        if self.log.base_index > self.snapshot_index:
+            raise DamagedStorageError(
+                f"snapshot must reach index {self.log.base_index}, "
+                f"got {self.snapshot_index}"
+            )
+        if snapshot and self.log.term_at(snapshot.index) != snapshot.term:
+            # The process ended after it had received the snapshot and before it
+            # replaced the log.
+            self.log.reset(snapshot.index, snapshot.term)
+            await self._rewrite_log()
+
+    async def _shield(self, main: Coroutine[Any, Any, T]) -> T:
+        """Finish a write even if the caller is cancelled."""
+        return await asyncio.shield(asyncio.ensure_future(main))
+
+    async def _run(self, operation: Callable[[], T]) -> T:
+        if self.failure is not None:
+            raise StorageError(self.failure)
+        try:
+            return await self._disk.run(operation)
+        except OSError as error:
+            # After a failed fsync the kernel may have dropped the pages, so a second
+            # fsync would succeed without them. No operation is ever retried.
+            self.failure = f"data directory failed: {error}"
+            self.on_failure(self.failure)
+            raise StorageError(self.failure) from error
+
+
+def _unpack_snapshot(data: bytes) -> Snapshot:
+    index, term, members, content = read_single(data, SNAPSHOT_FILE)
+    return Snapshot(index, term, Members.unpack(members), content)
