--- /dev/null
+++ b/toucanwood/dispatch/_claims.py
@@ -0,0 +1,181 @@
+"""Change of a target's owner without exceeding its slots."""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+import attrs
+import structlog
+
+from toucanwood.dispatch._holder import Claim, LeaseHolder
+from toucanwood.dispatch._messages import ClaimReply, ClaimTarget
+from toucanwood.dispatch._owner import HOLDER_TIMEOUT_S, SlotOwner
+from toucanwood.dispatch._target import TARGET_LEASE_S, LeaseKey, OwnedLease
+from toucanwood.peering import PeerUnavailable, Transport
+from toucanwood.utils import TaskGroup
+
+# An earlier owner that does not answer grants until its lease from the target ends.
+OLD_LEASE_WAIT_S = TARGET_LEASE_S + 0.5
+# Leases of a holder that does not answer have been given up by then, because their
+# owner has not confirmed them since the target's last renewal.
+SILENT_HOLDER_WAIT_S = TARGET_LEASE_S + HOLDER_TIMEOUT_S + 0.5
+CLAIM_TIMEOUT_S = 0.5
+CLAIM_INTERVAL_S = 0.25
+
+log = structlog.get_logger()
+
+
+@attrs.define
+class Progress:
+    """Track which instances have answered one claim."""
+
+    started_at: float
+    answered: set[str] = attrs.field(factory=set)
+    has_old_owner_given_up: bool = False
+
+
+class Claimant:
+    """Ask every instance for its leases on a new target, then open the target."""
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        owner: SlotOwner,
+        holder: LeaseHolder,
+        members: Callable[[], Collection[str]],
+        is_known_service: Callable[[str, str], bool],
+    ) -> None:
+        self._transport = transport
+        self._owner = owner
+        self._holder = holder
+        self._members = members
+        self._is_known_service = is_known_service
+        self._tasks = TaskGroup()
+        self._last_known: dict[str, float] = {}
+        transport.register(ClaimTarget, self._handle_claim)
+
+    def start(self, target_id: str) -> None:
+        """Claim a target in the background."""
+        self._tasks.start(self._claim(target_id), name=f"claim-{target_id}")
+
+    def note_members(self, now: float) -> None:
+        """Remember the members, because a lost one may still hold leases."""
+        for member in self._members():
+            self._last_known[member] = now
+        for member, seen_at in list(self._last_known.items()):
+            if now >= seen_at + SILENT_HOLDER_WAIT_S:
+                del self._last_known[member]
+
+    def forget_member(self, member: str) -> None:
+        """Stop waiting for an instance that is known to be gone."""
+        self._last_known.pop(member, None)
+
+    async def stop(self) -> None:
+        """Abandon the running claims."""
+        await self._tasks.stop()
+
+    async def _claim(self, target_id: str) -> None:
+        target = self._owner.targets[target_id]
+        progress = Progress(started_at=_now())
+        self._claim_own(target_id)
+        while self._owner.targets.get(target_id) is target:
+            await self._ask_unanswered(target_id, progress)
+            if self._is_safe(progress):
+                break
+            await asyncio.sleep(CLAIM_INTERVAL_S)
+        if self._owner.targets.get(target_id) is not target:
+            return
+        # Without any other target of the service, ramp-up would only refuse requests.
+        ramp = self._is_known_service(target.announcement.service, target.region)
+        self._owner.open(target_id, ramp=ramp, now=_now())
+        log.info("target_opened", target=target_id, waited=_now() - progress.started_at)
+
+    def _claim_own(self, target_id: str) -> None:
+        leases = self._list_held(target_id, self._transport.instance_id)
+        self._adopt(target_id, leases)
+
+    async def _ask_unanswered(self, target_id: str, progress: Progress) -> None:
+        peers = sorted(self._list_others() - progress.answered)
+        replies = await asyncio.gather(
+            *(self._call_claim(peer, target_id) for peer in peers)
+        )
+        for peer, reply in zip(peers, replies, strict=True):
+            if reply is None:
+                continue
+            progress.answered.add(peer)
+            progress.has_old_owner_given_up |= reply.gave_up
+            self._adopt(target_id, reply.leases)
+
+    def _is_safe(self, progress: Progress) -> bool:
+        elapsed = _now() - progress.started_at
+        if elapsed >= SILENT_HOLDER_WAIT_S:
+            return True
+        if not self._list_others() <= progress.answered:
+            return False
+        return progress.has_old_owner_given_up or elapsed >= OLD_LEASE_WAIT_S
+
+    def _list_others(self) -> set[str]:
+        self.note_members(_now())
+        return set(self._last_known) - {self._transport.instance_id}
+
+    async def _call_claim(self, peer: str, target_id: str) -> ClaimReply | None:
+        body = ClaimTarget(target_id, self._holder.incarnation)
+        try:
+            reply = await self._transport.call(peer, body, timeout=CLAIM_TIMEOUT_S)
+        except PeerUnavailable:
+            return None
+        return reply if isinstance(reply, ClaimReply) else None
+
+    def _adopt(self, target_id: str, items: list[list]) -> None:
+        now = _now()
+        leases = [
+            OwnedLease(
+                key=LeaseKey(holder, incarnation, number),
+                organisation=organisation,
+                deadline=now + remaining,
+                granted_at=now,
+                heard_at=now,
+            )
+            for holder, incarnation, number, organisation, remaining in items
+        ]
+        self._owner.adopt(target_id, leases, now)
+
+    async def _handle_claim(self, sender: str, body: ClaimTarget) -> ClaimReply:
+        now = _now()
+        target = self._owner.targets.get(body.target_id)
+        # An owner that has not finished its own claim may not know of all leases.
+        was_open = target is not None and target.is_open
+        granted = self._owner.give_up(body.target_id)
+        claim = Claim(sender, body.owner_incarnation, now)
+        held = self._list_held(body.target_id, sender, claim)
+        items = [
+            [
+                lease.key.holder,
+                lease.key.incarnation,
+                lease.key.number,
+                lease.organisation,
+                lease.deadline - now,
+            ]
+            for lease in granted or ()
+        ]
+        return ClaimReply(was_open, items + held)
+
+    def _list_held(
+        self, target_id: str, owner: str, claim: Claim | None = None
+    ) -> list[list]:
+        now = _now()
+        claim = claim or Claim(owner, self._holder.incarnation, now)
+        return [
+            [
+                self._holder.instance_id,
+                self._holder.incarnation,
+                lease.number,
+                lease.organisation,
+                lease.deadline - now,
+            ]
+            for lease in self._holder.claim(target_id, claim)
+        ]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/toucanwood/dispatch/_directory.py
@@ -0,0 +1,181 @@
+"""What this instance knows of the free slots at all owners."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from typing import Any
+
+import attrs
+
+from toucanwood.dispatch._messages import DirectoryDelta
+from toucanwood.dispatch._owner import Share
+
+# An owner repeats unchanged shares this often, so that a lost delta is made good.
+REFRESH_S = 1.0
+MAX_AGE_S = 3.5
+SUSPECT_S = 1.0
+
+
+@attrs.define
+class KnownShare:
+    """Hold the last share heard from an owner."""
+
+    owner: str
+    share: Share
+    heard_at: float
+    free: int
+
+
+class Directory:
+    """Rank the owners of a service in a region; forget those that fall silent."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        data_centre: str,
+        region_of: Callable[[str], str | None],
+        random: random.Random,
+    ) -> None:
+        self._instance_id = instance_id
+        self._data_centre = data_centre
+        self._region_of = region_of
+        self._random = random
+        self._shares: dict[tuple[str, str, str], KnownShare] = {}
+        self._sequences: dict[str, tuple[int, int]] = {}
+        self._suspects: dict[str, float] = {}
+
+    def apply(self, owner: str, delta: DirectoryDelta, now: float) -> None:
+        """Take over the shares of one owner; ignore a delta older than the last."""
+        version = delta.incarnation, delta.sequence
+        if version <= self._sequences.get(owner, (0, -1)):
+            return
+        self._sequences[owner] = version
+        for fields in delta.shares:
+            share = Share(*fields)
+            place = owner, share.service, share.data_centre
+            self._shares[place] = KnownShare(owner, share, now, share.free)
+
+    def set_own(self, shares: Iterable[Share], now: float) -> None:
+        """Replace this instance's own shares."""
+        self._forget(self._instance_id)
+        for share in shares:
+            place = self._instance_id, share.service, share.data_centre
+            known = KnownShare(self._instance_id, share, now, share.free)
+            self._shares[place] = known
+
+    def set_free(self, owner: str, service: str, free: int) -> None:
+        """Correct the free slots of an owner from a reply."""
+        for known in self._shares.values():
+            if known.owner == owner and known.share.service == service:
+                known.free = free
+
+    def suspect(self, owner: str, now: float) -> None:
+        """Rank an unreachable owner last for a moment."""
+        self._suspects[owner] = now + SUSPECT_S
+
+    def advance(self, now: float) -> None:
+        """Forget the shares that are too old."""
+        for place, known in list(self._shares.items()):
+            if now >= known.heard_at + MAX_AGE_S:
+                del self._shares[place]
+
+    def rank(self, service: str, region: str, now: float) -> list[tuple[str, int]]:
+        """Return owners and their free slots, the one to try first in front."""
+        free: dict[str, int] = {}
+        local: dict[str, bool] = {}
+        pressure: dict[str, float] = {}
+        for known in self._shares.values():
+            share = known.share
+            if share.service != service or not share.slots:
+                continue
+            if self._region_of(share.data_centre) != region:
+                continue
+            owner = known.owner
+            free[owner] = free.get(owner, 0) + known.free
+            is_local = share.data_centre == self._data_centre
+            local[owner] = local.get(owner, False) or is_local
+            pressure[owner] = share.waiting / share.slots
+
+        def order(owner: str) -> tuple[Any, ...]:
+            spread = self._random.random()
+            is_suspect = now < self._suspects.get(owner, 0.0)
+            if free[owner] <= 0:
+                return is_suspect, True, pressure[owner], not local[owner], spread
+            place = 0 if owner == self._instance_id else 1 if local[owner] else 2
+            return is_suspect, False, place, -free[owner] * spread
+
+        return [(owner, free[owner]) for owner in sorted(free, key=order)]
+
+    def count_usage(self, service: str, organisation: str) -> int:
+        """Return the slots of an organisation in use at the other owners."""
+        return sum(
+            known.share.usage.get(organisation, 0)
+            for known in self._shares.values()
+            if known.share.service == service and known.owner != self._instance_id
+        )
+
+    def count_slots(self, service: str, region: str) -> int:
+        """Return the slots of a service in a region."""
+        return sum(
+            known.share.slots
+            for known in self._shares.values()
+            if known.share.service == service
+            and self._region_of(known.share.data_centre) == region
+        )
+
+    def list_shares(self) -> Collection[KnownShare]:
+        """Return all known shares."""
+        return self._shares.values()
+
+    def dump(self, now: float) -> list[dict[str, Any]]:
+        """Return the known shares and their ages in seconds."""
+        return [
+            {
+                "owner": known.owner,
+                **attrs.asdict(known.share),
+                "age": now - known.heard_at,
+            }
+            for known in self._shares.values()
+        ]
+
+    def _forget(self, owner: str) -> None:
+        for place in [place for place in self._shares if place[0] == owner]:
+            del self._shares[place]
+
+
+class DeltaSource:
+    """Build the periodic deltas of one owner."""
+
+    def __init__(self, *, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._sent: dict[tuple[str, str], tuple[Share, float]] = {}
+
+    def build(self, shares: Iterable[Share], now: float) -> DirectoryDelta | None:
+        """Return the changed shares, and every share once per refresh interval."""
+        current = {(share.service, share.data_centre): share for share in shares}
+        for place, (sent, _) in self._sent.items():
+            # A vanished share is sent once more without slots.
+            gone = Share(sent.service, sent.data_centre, 0, 0, 0, {})
+            current.setdefault(place, gone)
+        due = [share for share in current.values() if self._is_due(share, now)]
+        if not due:
+            return None
+        for share in due:
+            self._note_sent(share, now)
+        self._sequence += 1
+        fields = [list(attrs.astuple(share, recurse=False)) for share in due]
+        return DirectoryDelta(self._incarnation, self._sequence, fields)
+
+    def _is_due(self, share: Share, now: float) -> bool:
+        sent = self._sent.get((share.service, share.data_centre))
+        if sent is None:
+            return bool(share.slots or share.usage)
+        return sent[0] != share or now >= sent[1] + REFRESH_S
+
+    def _note_sent(self, share: Share, now: float) -> None:
+        place = share.service, share.data_centre
+        if share.slots or share.usage:
+            self._sent[place] = share, now
+        else:
+            self._sent.pop(place, None)
--- /dev/null
+++ b/toucanwood/dispatch/_service.py
@@ -0,0 +1,113 @@
+"""The slot owner behind its messages."""
+
+import asyncio
+from collections.abc import Callable
+
+from toucanwood.dispatch._messages import (
+    AcquireSlot,
+    HoldLeases,
+    HoldReply,
+    ReleaseSlot,
+    SlotReply,
+)
+from toucanwood.dispatch._owner import Decision, SlotOwner, Status, Usage
+from toucanwood.dispatch._queue import Waiter
+from toucanwood.dispatch._selection import Selector
+from toucanwood.dispatch._target import LeaseKey, Outcome
+from toucanwood.peering import Transport
+
+MAX_WAIT_S = 1.0
+
+
+class SlotService:
+    """Answer requests for slots, locally and from other instances."""
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        incarnation: int,
+        remote_usage: Usage,
+        is_isolated: Callable[[], bool],
+        selector: Selector | None,
+    ) -> None:
+        self.owner = SlotOwner(
+            remote_usage=remote_usage, on_decision=self._decide, selector=selector
+        )
+        self._incarnation = incarnation
+        self._is_isolated = is_isolated
+        self._futures: dict[LeaseKey, asyncio.Future[Decision]] = {}
+        transport.register(AcquireSlot, self.handle_acquire)
+        transport.register(ReleaseSlot, self._handle_release)
+        transport.register(HoldLeases, self.handle_hold)
+
+    async def handle_acquire(self, sender: str, body: AcquireSlot) -> SlotReply:
+        """Grant a slot within the time that the sender waits."""
+        now = _now()
+        wait = min(body.wait, MAX_WAIT_S)
+        waiter = Waiter(
+            key=LeaseKey(sender, body.incarnation, body.number),
+            service=body.service,
+            organisation=body.organisation,
+            region=body.region,
+            deadline=now + body.remaining,
+            poll_until=now + wait,
+            exclude=frozenset(body.exclude),
+        )
+        decision = self.owner.request(waiter, wait=wait, now=now)
+        if decision is None:
+            decision = await self._wait(waiter.key, wait)
+        return self._reply(body, decision)
+
+    def release(self, sender: str, body: ReleaseSlot) -> None:
+        """End a lease or a place in the queue."""
+        key = LeaseKey(sender, body.incarnation, body.number)
+        outcome = Outcome(body.outcome)
+        duration = None if outcome is Outcome.CANCELLED else body.duration
+        self.owner.release(key, outcome, duration, _now())
+
+    async def handle_hold(self, sender: str, body: HoldLeases) -> HoldReply:
+        """Confirm the leases that the sender holds."""
+        confirmed = self.owner.hold(
+            sender,
+            body.incarnation,
+            body.last_number,
+            body.numbers,
+            _now(),
+            is_isolated=self._is_isolated(),
+        )
+        return HoldReply(confirmed)
+
+    async def _handle_release(self, sender: str, body: ReleaseSlot) -> None:
+        self.release(sender, body)
+
+    async def _wait(self, key: LeaseKey, wait: float) -> Decision:
+        future = self._futures.get(key)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._futures[key] = future
+        try:
+            return await asyncio.wait_for(asyncio.shield(future), wait)
+        except TimeoutError:
+            return Decision(Status.WAITING)
+
+    def _decide(self, key: LeaseKey, decision: Decision) -> None:
+        future = self._futures.pop(key, None)
+        if future is not None and not future.done():
+            future.set_result(decision)
+
+    def _reply(self, body: AcquireSlot, decision: Decision) -> SlotReply:
+        free = self.owner.count_free(body.service, body.region, _now())
+        return SlotReply(
+            status=decision.status.value,
+            target_id=decision.target_id,
+            address=decision.address,
+            valid_for=decision.valid_for,
+            owner_incarnation=self._incarnation,
+            free=free,
+            retry_after=decision.retry_after,
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/toucanwood/dispatch/_target.py
@@ -0,0 +1,198 @@
+"""One target as its owner sees it."""
+
+import math
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from toucanwood.utils import check_range
+
+TARGET_LEASE_S = 2.0
+RAMP_S = 5.0
+RAMP_START_FRACTION = 0.25
+FAILURE_SMOOTHING = 0.1
+DURATION_SMOOTHING = 0.1
+# Seven failures in a row raise the smoothed failure rate above this limit.
+FAILING_RATE = 0.5
+PROBE_INTERVAL_S = 1.0
+MAX_LOAD_ERROR = 0.4
+CONTRADICTIONS_TO_FLAG = 5
+MAX_SLOTS = 100_000
+
+
+class Outcome(Enum):
+    """Tell how a request at a target ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    SHED = "shed"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """Describe a target; `load` is the share of its slots that it reports as busy."""
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    load: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        check_range("slots", self.slots, low=1, high=MAX_SLOTS)
+
+
+@attrs.frozen
+class LeaseKey:
+    """Identify a lease: its holder, the holder's start and a number."""
+
+    holder: str
+    incarnation: int
+    number: int
+
+
+@attrs.define
+class OwnedLease:
+    """Count one slot in use; times are on the owner's clock."""
+
+    key: LeaseKey
+    organisation: str
+    deadline: float
+    granted_at: float
+    heard_at: float
+
+
+@attrs.define(kw_only=True)
+class Target:
+    """Hold the slots in use and the observations of one target."""
+
+    announcement: Announcement
+    region: str
+    renewed_at: float
+    is_open: bool = False
+    left_at: float | None = None
+    ramp_from: float = -math.inf
+    leases: dict[LeaseKey, OwnedLease] = attrs.field(factory=dict)
+    started: int = 0
+    ended: int = 0
+    failure_rate: float = 0.0
+    mean_duration: float | None = None
+    last_started_at: float = -math.inf
+    is_failing: bool = False
+    contradictions: int = 0
+    _busy_since_renewal: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """Return the target's id."""
+        return self.announcement.id
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target said that it leaves."""
+        return self.left_at is not None
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of slots in use."""
+        return len(self.leases)
+
+    @property
+    def slots(self) -> int:
+        """Return the announced number of slots."""
+        return self.announcement.slots
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the target's own lease allows new work."""
+        return not self.is_leaving and now < self.renewed_at + TARGET_LEASE_S
+
+    def limit(self, now: float) -> int:
+        """Return the number of slots allowed during ramp-up."""
+        age = (now - self.ramp_from) / RAMP_S
+        if age >= 1.0:
+            return self.slots
+        fraction = RAMP_START_FRACTION + (1.0 - RAMP_START_FRACTION) * age
+        return max(1, math.floor(self.slots * fraction))
+
+    def count_free(self, now: float) -> int:
+        """Return how many requests may start now."""
+        if not self.is_open or not self.is_current(now):
+            return 0
+        free = max(self.limit(now) - self.in_flight, 0)
+        if not self.is_failing:
+            return free
+        is_paused = now < self.last_started_at + PROBE_INTERVAL_S
+        return 0 if is_paused else min(free, 1)
+
+    def renew(self, announcement: Announcement, now: float) -> None:
+        """Record a renewal and compare the reported load with the observed one."""
+        self._compare_load(announcement.load)
+        self.announcement = announcement
+        self.renewed_at = now
+
+    def start(self, lease: OwnedLease, now: float) -> None:
+        """Count a granted lease."""
+        self.leases[lease.key] = lease
+        self.started += 1
+        self.last_started_at = now
+        self._note_busy()
+
+    def end(self, key: LeaseKey) -> OwnedLease | None:
+        """Free the slot of a lease."""
+        lease = self.leases.pop(key, None)
+        if lease is not None:
+            self.ended += 1
+        return lease
+
+    def observe(self, outcome: Outcome, duration: float) -> None:
+        """Record how a request ended; `duration` is in seconds."""
+        if outcome is Outcome.CANCELLED:
+            return
+        failed = 1.0 if outcome is Outcome.FAILED else 0.0
+        self.failure_rate += FAILURE_SMOOTHING * (failed - self.failure_rate)
+        if outcome is not Outcome.OK:
+            return
+        if self.mean_duration is None:
+            self.mean_duration = duration
+        self.mean_duration += DURATION_SMOOTHING * (duration - self.mean_duration)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the target's state."""
+        return {
+            "service": self.announcement.service,
+            "address": self.announcement.address,
+            "data_centre": self.announcement.data_centre,
+            "slots": self.slots,
+            "limit": self.limit(now),
+            "in_flight": self.in_flight,
+            "is_open": self.is_open,
+            "is_leaving": self.is_leaving,
+            "is_failing": self.is_failing,
+            "renewal_age": now - self.renewed_at,
+            "reported_load": self.announcement.load,
+            "is_load_misreported": self.is_load_misreported,
+            "failure_rate": self.failure_rate,
+            "mean_duration": self.mean_duration,
+        }
+
+    @property
+    def is_load_misreported(self) -> bool:
+        """Return whether several reports in a row contradict the slots in use."""
+        return self.contradictions >= CONTRADICTIONS_TO_FLAG
+
+    def _note_busy(self) -> None:
+        busy = self.in_flight / self.slots
+        self._busy_since_renewal = max(self._busy_since_renewal, busy)
+
+    def _compare_load(self, load: float | None) -> None:
+        least = self.in_flight / self.slots
+        most = max(self._busy_since_renewal, least)
+        self._busy_since_renewal = least
+        if load is None:
+            return
+        error = max(least - load, load - most)
+        is_wrong = not error <= MAX_LOAD_ERROR
+        self.contradictions = self.contradictions + 1 if is_wrong else 0
