--- a/toucanwood/steering/__init__.py
+++ b/toucanwood/steering/__init__.py
@@ -1,15 +1,24 @@
 """Client blocks, region plan, shift cap and lookup ranking."""
 
 from toucanwood.steering._blocks import ClientBlocks
+from toucanwood.steering._demand import DemandMeter
 from toucanwood.steering._entries import rank_entries
 from toucanwood.steering._plan import Capacity, RegionPlan
+from toucanwood.steering._planner import Measurement, RegionPlanner, ServiceRules
 from toucanwood.steering._shift import ShiftLimiter, measure_distance
+from toucanwood.steering._steering import Inputs, Steering
 
 __all__ = [
     "Capacity",
     "ClientBlocks",
+    "DemandMeter",
+    "Inputs",
+    "Measurement",
     "RegionPlan",
+    "RegionPlanner",
+    "ServiceRules",
     "ShiftLimiter",
+    "Steering",
     "measure_distance",
     "rank_entries",
 ]
--- /dev/null
+++ b/toucanwood/steering/_messages.py
@@ -0,0 +1,14 @@
+"""Messages from entries to the leader."""
+
+import attrs
+
+from toucanwood.peering import message
+
+
+@message(90)
+@attrs.frozen
+class DemandReport:
+    """Carry the demand in slots: `{service: {home region: slots}}`."""
+
+    sequence: int
+    demand: dict[str, dict[str, float]]
--- /dev/null
+++ b/toucanwood/steering/_planner.py
@@ -0,0 +1,267 @@
+"""Desired and published weights at the leader."""
+
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import attrs
+
+from toucanwood.steering._shift import (
+    ROUNDING,
+    Cap,
+    ShiftLimiter,
+    Weights,
+    measure_distance,
+    normalise,
+)
+
+# Traffic leaves a home region above 90% of its slots and returns below 80%.
+SPILL_HEADROOM = 0.1
+RETURN_HEADROOM = 0.2
+# Older measurements no longer change the desired weights.
+MAX_MEASUREMENT_AGE_S = 10.0
+# Smaller steps wait, because every published step is a record in the replicated log.
+MIN_STEP = 0.01
+
+
+@attrs.frozen(kw_only=True)
+class Measurement:
+    """Give slots by region and demand in slots by home region for one service.
+
+    Only healthy targets in data centres that are not drained count as slots.
+    """
+
+    slots: Mapping[str, float]
+    demand: Mapping[str, float]
+    measured_at: float
+
+
+@attrs.frozen(kw_only=True)
+class ServiceRules:
+    """Give what the operators declared for one service."""
+
+    cap: Cap
+    fixed_weights: Mapping[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class HomeState:
+    """Hold what is published for one service and home region."""
+
+    limiter: ShiftLimiter
+    published: dict[str, float]
+    desired: dict[str, float]
+
+
+class RegionPlanner:
+    """Compute desired weights and the steps towards them.
+
+    A new leader starts from the published weights and moves nothing for one interval.
+    """
+
+    def __init__(self) -> None:
+        self._states: dict[tuple[str, str], HomeState] = {}
+        self._measurements: dict[str, Measurement] = {}
+
+    def plan(
+        self,
+        service: str,
+        rules: ServiceRules,
+        measurement: Measurement,
+        *,
+        drained: Collection[str],
+        published: Mapping[str, Weights],
+        now: float,
+    ) -> dict[str, dict[str, float]]:
+        """Return the weights to publish now, by home region; empty if there are none.
+
+        `published` has the weights in force by home region.
+        """
+        known = self._select_measurement(service, measurement, now)
+        if known is None:
+            return {}
+        current = {
+            home: self._find_current(service, home, published) for home in known.demand
+        }
+        desired = compute_desired(known, drained, current, rules.fixed_weights)
+        steps = {}
+        for home, weights in desired.items():
+            step = self._step(
+                service, home, weights, published.get(home, {}), rules, now
+            )
+            if step:
+                steps[home] = step
+        return steps
+
+    def dump(self) -> dict[str, Any]:
+        """Return the published and the desired weights."""
+        return {
+            f"{service}@{home}": {
+                "published": state.published,
+                "desired": state.desired,
+            }
+            for (service, home), state in self._states.items()
+        }
+
+    def _select_measurement(
+        self, service: str, measurement: Measurement, now: float
+    ) -> Measurement | None:
+        is_fresh = now < measurement.measured_at + MAX_MEASUREMENT_AGE_S
+        if is_fresh and sum(measurement.slots.values()) > 0:
+            self._measurements[service] = measurement
+        return self._measurements.get(service)
+
+    def _find_current(
+        self, service: str, home: str, published: Mapping[str, Weights]
+    ) -> Weights:
+        state = self._states.get((service, home))
+        return state.limiter.weights if state else published.get(home, {})
+
+    def _step(
+        self,
+        service: str,
+        home: str,
+        desired: dict[str, float],
+        published: Weights,
+        rules: ServiceRules,
+        now: float,
+    ) -> dict[str, float]:
+        state = self._states.get((service, home))
+        if state is None:
+            return self._start(service, home, desired, published, now)
+        state.desired = desired
+        state.limiter.move(desired, rules.cap, now)
+        weights = dict(state.limiter.weights)
+        is_reached = measure_distance(weights, desired) < MIN_STEP
+        distance = measure_distance(weights, state.published)
+        if distance < MIN_STEP and not (is_reached and distance > 0):
+            return {}
+        state.published = weights
+        return weights
+
+    def _start(
+        self,
+        service: str,
+        home: str,
+        desired: dict[str, float],
+        published: Weights,
+        now: float,
+    ) -> dict[str, float]:
+        is_resumed = bool(published)
+        first = normalise(published) if is_resumed else desired
+        limiter = ShiftLimiter(first, is_resumed=is_resumed, now=now)
+        self._states[service, home] = HomeState(limiter, dict(first), desired)
+        return {} if is_resumed else dict(first)
+
+
+def compute_desired(
+    measurement: Measurement,
+    drained: Collection[str],
+    current: Mapping[str, Weights],
+    fixed_weights: Weights,
+) -> dict[str, dict[str, float]]:
+    """Return the weights that serve the demand without overloading a region."""
+    slots = {
+        region: 0.0 if region in drained else float(count)
+        for region, count in measurement.slots.items()
+    }
+    demand = dict(measurement.demand)
+    spill = _spread(slots, demand, fixed_weights, SPILL_HEADROOM)
+    back = _spread(slots, demand, fixed_weights, RETURN_HEADROOM)
+    chosen = {
+        home: _apply_hysteresis(home, current.get(home, {}), spill[home], back[home])
+        for home in demand
+    }
+    if fixed_weights:
+        return chosen
+    return spill if _overloads(chosen, slots, demand) else chosen
+
+
+def _overloads(
+    planned: Mapping[str, Weights],
+    slots: Mapping[str, float],
+    demand: Mapping[str, float],
+) -> bool:
+    """Return whether traffic from other homes takes more than a region has to spare."""
+    for region, count in slots.items():
+        usable = count * (1.0 - SPILL_HEADROOM)
+        local = min(demand.get(region, 0.0), usable)
+        moved_in = sum(
+            demand[home] * weights.get(region, 0.0)
+            for home, weights in planned.items()
+            if home != region
+        )
+        if moved_in + local > usable + ROUNDING:
+            return True
+    return False
+
+
+def _apply_hysteresis(
+    home: str,
+    current: Weights,
+    spill: dict[str, float],
+    back: dict[str, float],
+) -> dict[str, float]:
+    if not current:
+        return spill
+    at_home = current.get(home, 0.0)
+    if back.get(home, 0.0) <= at_home <= spill.get(home, 0.0):
+        return dict(current)
+    return back if at_home < back.get(home, 0.0) else spill
+
+
+def _spread(
+    slots: Mapping[str, float],
+    demand: Mapping[str, float],
+    fixed_weights: Weights,
+    headroom: float,
+) -> dict[str, dict[str, float]]:
+    usable = {region: count * (1.0 - headroom) for region, count in slots.items()}
+    if fixed_weights:
+        return _spread_fixed(usable, demand, fixed_weights)
+    local = {
+        home: min(amount, usable.get(home, 0.0)) for home, amount in demand.items()
+    }
+    spare = {
+        region: amount - local.get(region, 0.0) for region, amount in usable.items()
+    }
+    overflow = {home: amount - local[home] for home, amount in demand.items()}
+    moved = _scale(sum(overflow.values()), sum(spare.values()))
+    parts = normalise(spare)
+    return {
+        home: _weigh(home, demand[home], overflow[home] * moved, parts, usable)
+        for home in demand
+    }
+
+
+def _spread_fixed(
+    usable: Mapping[str, float], demand: Mapping[str, float], fixed_weights: Weights
+) -> dict[str, dict[str, float]]:
+    healthy = normalise(
+        {
+            region: weight
+            for region, weight in fixed_weights.items()
+            if usable.get(region, 0.0) > 0
+        }
+    )
+    return {home: dict(healthy or {home: 1.0}) for home in demand}
+
+
+def _scale(overflow: float, spare: float) -> float:
+    """Return the share of the overflow that the spare slots can take."""
+    return min(1.0, spare / overflow) if overflow > 0 else 1.0
+
+
+def _weigh(
+    home: str,
+    demand: float,
+    moved: float,
+    parts: Weights,
+    usable: Mapping[str, float],
+) -> dict[str, float]:
+    if demand <= 0:
+        is_served = usable.get(home, 0.0) > 0 or not parts
+        return {home: 1.0} if is_served else dict(parts)
+    weights = {region: moved * part / demand for region, part in parts.items()}
+    # What no region has room for stays at home and is refused or queued there.
+    weights[home] = weights.get(home, 0.0) + 1.0 - moved / demand
+    return normalise(weights)
--- /dev/null
+++ b/toucanwood/steering/_steering.py
@@ -0,0 +1,132 @@
+"""Periodic work of steering: report demand and, as leader, publish steps."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
+from typing import Any
+
+import attrs
+import structlog
+
+from toucanwood.peering import Transport
+from toucanwood.steering._demand import DemandMeter, DemandTable
+from toucanwood.steering._messages import DemandReport
+from toucanwood.steering._planner import Measurement, RegionPlanner, ServiceRules
+from toucanwood.steering._shift import Weights
+from toucanwood.utils import TaskGroup
+
+REPORT_INTERVAL_S = 1.0
+PLAN_INTERVAL_S = 1.0
+
+log = structlog.get_logger()
+
+
+@attrs.frozen(kw_only=True)
+class Inputs:
+    """Give steering what it needs from the other components.
+
+    `slots(service, region)` counts usable slots. `publish(service, home, weights)`
+    returns whether the weights were accepted into the replicated state.
+    """
+
+    leader: Callable[[], str | None]
+    is_leader: Callable[[], bool]
+    services: Callable[[], Mapping[str, ServiceRules]]
+    regions: Callable[[], Iterable[str]]
+    drained: Callable[[], Collection[str]]
+    slots: Callable[[str, str], float]
+    published: Callable[[str, str], Weights]
+    publish: Callable[[str, str, dict[str, float]], Awaitable[bool]]
+
+
+class Steering:
+    """Report this entry's demand to the leader; plan and publish as leader."""
+
+    def __init__(self, *, transport: Transport, meter: DemandMeter, inputs: Inputs):
+        self._transport = transport
+        self._meter = meter
+        self._inputs = inputs
+        self._table = DemandTable()
+        self._planner: RegionPlanner | None = None
+        self._sequence = 0
+        self._tasks = TaskGroup()
+        transport.register(DemandReport, self._handle_report)
+
+    async def start(self) -> None:
+        """Start the periodic work."""
+        self._tasks.start(self._run_reports(), name="steering-reports")
+        self._tasks.start(self._run_plans(), name="steering-plans")
+
+    async def stop(self) -> None:
+        """Stop the periodic work."""
+        await self._tasks.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the leader's plan; empty at other instances."""
+        return self._planner.dump() if self._planner else {}
+
+    async def _run_reports(self) -> None:
+        while True:
+            self._report(_now())
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _report(self, now: float) -> None:
+        demand = self._meter.collect(now)
+        leader = self._inputs.leader()
+        if leader is None:
+            return
+        self._sequence += 1
+        report = DemandReport(self._sequence, demand)
+        if leader == self._transport.instance_id:
+            self._table.apply(leader, report, now)
+        else:
+            self._transport.send(leader, report)
+
+    async def _handle_report(self, sender: str, body: DemandReport) -> None:
+        self._table.apply(sender, body, _now())
+
+    async def _run_plans(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_INTERVAL_S)
+            if not self._inputs.is_leader():
+                self._planner = None
+                continue
+            self._planner = self._planner or RegionPlanner()
+            await self._publish_steps(self._planner)
+
+    async def _publish_steps(self, planner: RegionPlanner) -> None:
+        for service, rules in self._inputs.services().items():
+            steps = self._plan(planner, service, rules)
+            for home, weights in steps.items():
+                is_accepted = await self._inputs.publish(service, home, weights)
+                if not is_accepted:
+                    # Starts again from what is published.
+                    self._planner = None
+                    return
+                log.info("region_step", service=service, home=home, weights=weights)
+
+    def _plan(
+        self, planner: RegionPlanner, service: str, rules: ServiceRules
+    ) -> dict[str, dict[str, float]]:
+        now = _now()
+        regions = sorted(self._inputs.regions())
+        total = self._table.total(service, now)
+        measurement = Measurement(
+            slots={region: self._inputs.slots(service, region) for region in regions},
+            demand={region: total.get(region, 0.0) for region in regions},
+            measured_at=self._table.measured_at(),
+        )
+        published = {
+            region: self._inputs.published(service, region) for region in regions
+        }
+        return planner.plan(
+            service,
+            rules,
+            measurement,
+            drained=self._inputs.drained(),
+            published=published,
+            now=now,
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/toucanwood/steering/tests/test_planner.py
@@ -0,0 +1,167 @@
+"""Tests of the leader's plan."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from toucanwood.peering.testing import FakeNetwork
+from toucanwood.steering import (
+    DemandMeter,
+    Inputs,
+    Measurement,
+    RegionPlanner,
+    ServiceRules,
+    Steering,
+    measure_distance,
+)
+from toucanwood.steering._planner import compute_desired
+from toucanwood.utils import run_virtual
+
+REGIONS = ["norte", "occidente", "sureste"]
+
+
+@attrs.frozen
+class Cap:
+    fraction: float = 0.1
+    interval: float = 30.0
+
+
+RULES = ServiceRules(cap=Cap())
+
+
+def measure(slots, demand, at=0.0):
+    return Measurement(
+        slots=dict(zip(REGIONS, slots, strict=True)),
+        demand=dict(zip(REGIONS, demand, strict=True)),
+        measured_at=at,
+    )
+
+
+class Leader:
+    """Apply the published steps as the replicated state does."""
+
+    def __init__(self):
+        self.planner = RegionPlanner()
+        self.weights = {}
+
+    def plan(self, measurement, now, *, drained=(), rules=RULES):
+        steps = self.planner.plan(
+            "s", rules, measurement, drained=drained, published=self.weights, now=now
+        )
+        self.weights.update(steps)
+        return steps
+
+
+amounts = st.lists(st.sampled_from([0.0, 1.0, 5.0, 20.0, 40.0]), min_size=3, max_size=3)
+
+
+@settings(derandomize=True, max_examples=500, deadline=None, database=None)
+@given(amounts, amounts, st.sets(st.sampled_from(REGIONS), max_size=2), st.data())
+def test_no_plan_overloads_a_region(slots, demand, drained, data):
+    # Guards against a shift that moves an overload from one region to the next.
+    current = {}
+    for home in REGIONS:
+        parts = data.draw(st.lists(st.integers(0, 4), min_size=3, max_size=3))
+        total = sum(parts)
+        weights = zip(REGIONS, parts, strict=True)
+        current[home] = {name: part / total for name, part in weights if part}
+    planned = compute_desired(measure(slots, demand), drained, current, {})
+    for region, count in zip(REGIONS, slots, strict=True):
+        usable = 0.0 if region in drained else 0.9 * count
+        amount_by_home = dict(zip(REGIONS, demand, strict=True))
+        local = min(amount_by_home.pop(region), usable)
+        moved_in = sum(
+            amount * planned[home].get(region, 0.0)
+            for home, amount in amount_by_home.items()
+        )
+        assert moved_in + local <= usable + 1e-6
+    for weights in planned.values():
+        assert abs(sum(weights.values()) - 1.0) < 1e-9
+
+
+def test_drain_is_published_in_steps_under_the_cap():
+    # Guards against published weights that a restarted entry adopts in one jump.
+    leader = Leader()
+    steps = []
+    for now in range(400):
+        drained = ["norte"] if now >= 10 else []
+        measurement = measure([30, 30, 30], [10, 10, 10], now)
+        before = leader.weights.get("norte", {"norte": 1.0})
+        step = leader.plan(measurement, float(now), drained=drained).get("norte")
+        if step:
+            steps.append(measure_distance(before, step))
+    assert max(steps) <= 0.1 and len(steps) <= 12
+    assert "norte" not in leader.weights["norte"]
+
+
+def test_weights_do_not_oscillate_with_small_changes_of_demand():
+    # Guards against traffic that moves to and fro between regions with cold caches.
+    leader = Leader()
+    published = 0
+    for now in range(600):
+        demand = 28.0 if now % 20 < 10 else 26.0
+        step = leader.plan(measure([30, 30, 30], [demand, 5, 5], now), float(now))
+        published += "norte" in step
+    assert published <= 2
+
+
+def test_frozen_measurements_keep_the_plan_but_not_a_drain():
+    # Guards against a plan that follows old measurements, or ignores the operator.
+    leader = Leader()
+    old = measure([30, 30, 30], [10, 10, 10], 0.0)
+    leader.plan(old, 0.0)
+    wild = measure([1, 30, 30], [90, 0, 0], 0.0)
+    for now in range(11, 80):
+        assert leader.plan(wild, float(now)) == {}
+    leader.plan(wild, 81.0, drained=["norte"])
+    assert abs(leader.weights["norte"]["norte"] - 0.9) < 1e-6
+
+
+def test_new_leader_resumes_from_the_published_weights():
+    # Guards against a change of leader that doubles a step.
+    leader = Leader()
+    leader.weights = {"norte": {"norte": 0.5, "occidente": 0.5}}
+    for now in range(29):
+        drained = measure([30, 30, 30], [10, 0, 0], float(now))
+        assert "norte" not in leader.plan(drained, float(now), drained=["norte"])
+    leader.plan(measure([30, 30, 30], [10, 0, 0], 31.0), 31.0, drained=["norte"])
+    assert abs(leader.weights["norte"]["norte"] - 0.4) < 1e-6
+
+
+def test_leader_publishes_from_the_reports_of_all_entries():
+    # Guards against an overloaded home region that nobody relieves.
+    async def main():
+        import asyncio
+
+        network = FakeNetwork(1)
+        published = {}
+
+        async def publish(service, home, weights):
+            published[service, home] = weights
+            return True
+
+        inputs = Inputs(
+            leader=lambda: "a",
+            is_leader=lambda: False,
+            services=lambda: {"s": RULES},
+            regions=lambda: REGIONS,
+            drained=lambda: (),
+            slots=lambda service, region: 10.0,
+            published=lambda service, home: published.get((service, home), {}),
+            publish=publish,
+        )
+        meters = {}
+        for name in "abc":
+            meters[name] = DemandMeter(now=0.0)
+            own = attrs.evolve(inputs, is_leader=lambda name=name: name == "a")
+            transport = network.transport(name)
+            steering = Steering(transport=transport, meter=meters[name], inputs=own)
+            await steering.start()
+        for _ in range(60):
+            for meter in meters.values():
+                meter.record("s", "norte", 5.0)
+            await asyncio.sleep(1.0)
+        away = 1.0 - published["s", "norte"]["norte"]
+        assert 0.15 < away < 0.35, away
+
+    run_virtual(main())
