Add the entry: lookup, announcements, operators and proxying

The client works on aiohttp's client protocol instead of ClientSession, which does not tell whether a failed request had reached the socket.

--- /dev/null
+++ b/toucanwood/entry/_body.py
@@ -0,0 +1,116 @@
+"""The body of a caller's request: small ones are kept, large ones stream."""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+from returns.result import Failure, Result, Success
+
+from toucanwood.verdicts import Verdict, refuse
+
+# A body up to this size is read before a slot is taken, so that a slow caller does
+# not hold the slot, and is kept for a retry.
+MAX_KEPT_BYTES = 64 * 1024
+# An operation record needs the digest of the whole body before dispatch.
+MAX_DIGEST_BYTES = 1024 * 1024
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class BodyError(Exception):
+    """Report that the caller's request body ended early or is malformed."""
+
+
+class RequestBody:
+    """Hold what was read of a request body and the stream of the rest."""
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self._request = request
+        self._stream = request.content
+        self._length = request.headers.get("Content-Length")
+        self._is_chunked = "Transfer-Encoding" in request.headers
+        self.kept = b""
+        self.is_complete = not self._is_chunked and self._length in (None, "0")
+        self.is_streaming = False
+
+    @property
+    def is_replayable(self) -> bool:
+        """Return whether the body can be sent (again) in full."""
+        return self.is_complete or not self.is_streaming
+
+    @property
+    def is_chunked(self) -> bool:
+        """Return whether the body goes to the target in chunks."""
+        return self._is_chunked and not self.is_complete
+
+    def format_framing(self) -> str:
+        """Return the framing header for the target, if one is needed."""
+        if not self._is_chunked and self._length is None:
+            return ""
+        if self.is_chunked:
+            return "Transfer-Encoding: chunked"
+        length = len(self.kept) if self.is_complete else self._length
+        return f"Content-Length: {length}"
+
+    async def read(self, limit: int) -> None:
+        """Read the body up to `limit` bytes; a longer one is left to be streamed."""
+        if self.is_complete:
+            return
+        if self._length is not None and int(self._length) > limit:
+            return
+        self._invite()
+        parts = []
+        size = 0
+        while size <= limit:
+            chunk = await self._read_chunk()
+            if not chunk:
+                self.is_complete = True
+                break
+            parts.append(chunk)
+            size += len(chunk)
+        self.kept = b"".join(parts)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the whole body; possible once."""
+        self.is_streaming = True
+        self._invite()
+        if self.kept:
+            yield self.kept
+            self.kept = b""
+        while chunk := await self._read_chunk():
+            yield chunk
+
+    def compute_digest(self) -> bytes:
+        """Return the SHA-256 of the request line and the complete body."""
+        line = f"{self._request.method} {self._request.path_qs}\n"
+        digest = hashlib.sha256(line.encode("utf-8", "surrogateescape"))
+        digest.update(self.kept)
+        return digest.digest()
+
+    async def _read_chunk(self) -> bytes:
+        try:
+            return await self._stream.readany()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            raise BodyError(f"the request body is incomplete: {error}") from error
+
+    def _invite(self) -> None:
+        """Send "100 Continue" to a caller that waits for it."""
+        expect = self._request.headers.get("Expect", "")
+        if expect.lower() != "100-continue" or self._stream.is_eof():
+            return
+        transport = self._request.transport
+        if self._request.version == HttpVersion11 and transport is not None:
+            if not self._stream.total_bytes and not self.kept:
+                transport.write(_CONTINUE)
+
+
+def check_expectation(request: web.BaseRequest) -> Result[None, Verdict]:
+    """Refuse expectations other than 100-continue."""
+    expect = request.headers.get("Expect")
+    if expect is None or expect.lower() == "100-continue":
+        return Success(None)
+    message = "the only supported expectation is 100-continue"
+    return Failure(refuse("expectation_failed", message, status=417))
--- /dev/null
+++ b/toucanwood/entry/_client.py
@@ -0,0 +1,238 @@
+"""Connections to targets, with proof of what was written on them.
+
+aiohttp's `ClientSession` does not tell whether a failed request had reached the
+socket. This client uses aiohttp's client protocol and parser directly, so that
+`Progress` is known and not guessed.
+"""
+
+import asyncio
+import select
+from collections import deque
+from collections.abc import AsyncIterator
+
+import attrs
+from aiohttp.client_exceptions import ClientError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage, StreamWriter
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EofStream, StreamReader
+
+READ_BUFFER_BYTES = 64 * 1024
+MAX_IDLE_PER_TARGET = 8
+MAX_IDLE_S = 15.0
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+@attrs.define
+class Progress:
+    """Tell how far one attempt got."""
+
+    connected: bool = False
+    written: bool = False
+    reused: bool = False
+
+
+class TargetError(Exception):
+    """Report that a connection to a target failed or broke the protocol."""
+
+
+class TargetUnreachable(TargetError):
+    """Report that no connection to a target was established."""
+
+
+class TargetConnection:
+    """Carry one request at a time to a target."""
+
+    def __init__(self, address: str, protocol: ResponseHandler) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.broken = False
+        self._protocol = protocol
+        self._loop = asyncio.get_running_loop()
+        transport = protocol.transport
+        assert transport is not None
+        self._transport = transport
+        self._poller = select.poll()
+        self._poller.register(transport.get_extra_info("socket").fileno())
+
+    def is_quiet(self) -> bool:
+        """Return whether the idle connection is open and nothing arrived on it.
+
+        Bytes that arrive on an idle connection are a late or second response, and
+        would be taken for the response to the next request.
+        """
+        if self._transport.is_closing() or self._protocol.should_close:
+            return False
+        return not any(event & ~select.POLLOUT for _, event in self._poller.poll(0))
+
+    def prepare(self, method: str) -> None:
+        """Get ready for the response to a request of this method."""
+        self._protocol.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+        )
+
+    def write(self, data: bytes, progress: Progress) -> None:
+        """Write bytes; `progress` says so before the first one can leave."""
+        if self._transport.is_closing():
+            raise TargetError("the connection was closed before the request")
+        progress.written = True
+        self._transport.write(data)
+
+    async def write_body(
+        self, chunks: AsyncIterator[bytes], *, is_chunked: bool
+    ) -> None:
+        """Stream a request body with back-pressure."""
+        writer = StreamWriter(self._protocol, self._loop)
+        if is_chunked:
+            writer.enable_chunking()
+        try:
+            async for chunk in chunks:
+                await writer.write(chunk)
+            await writer.write_eof()
+        except (ClientError, ConnectionError) as error:
+            raise TargetError(f"the target closed the connection: {error}") from error
+
+    async def receive(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the final response and its body stream."""
+        try:
+            while True:
+                message, body = await self._protocol.read()
+                if message.code == 101:
+                    raise TargetError("the target switched protocols unasked")
+                if message.code >= 200:
+                    return message, body
+        except (ClientError, HttpProcessingError, EofStream, OSError) as error:
+            raise TargetError(f"no valid response: {error!r}") from error
+
+    def is_reusable(self, message: RawResponseMessage, body: StreamReader) -> bool:
+        """Return whether the response ended in a way that allows another request."""
+        framed = (
+            message.chunked
+            or "Content-Length" in message.headers
+            or message.code in _BODYLESS_STATUSES
+        )
+        return (
+            framed
+            and body.is_eof()
+            and body.exception() is None
+            and not message.should_close
+            and not self._protocol.should_close
+            and not self._transport.is_closing()
+        )
+
+    def abort(self) -> None:
+        """Close the connection at once, which cancels a running request."""
+        self.broken = True
+        self._protocol.abort()
+
+    def close(self) -> None:
+        """Close the idle connection."""
+        self.broken = True
+        self._protocol.close()
+
+
+class TargetClient:
+    """Open connections to targets and keep idle ones for idempotent requests."""
+
+    def __init__(
+        self,
+        *,
+        max_idle_per_target: int = MAX_IDLE_PER_TARGET,
+        max_idle_s: float = MAX_IDLE_S,
+    ) -> None:
+        self._max_idle = max_idle_per_target
+        self._max_idle_s = max_idle_s
+        self._idle: dict[str, deque[TargetConnection]] = {}
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self.opened = 0
+        self.reused = 0
+
+    async def open(
+        self, address: str, *, reuse: bool, progress: Progress
+    ) -> TargetConnection:
+        """Return an idle connection to a target, or a new one."""
+        if reuse:
+            idle = self._take_idle(address)
+            if idle is not None:
+                self.reused += 1
+                progress.connected = progress.reused = True
+                return idle
+        connection = await self._connect(address)
+        self.opened += 1
+        progress.connected = True
+        return connection
+
+    async def _connect(self, address: str) -> TargetConnection:
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        try:
+            _, protocol = await loop.create_connection(
+                lambda: ResponseHandler(loop), host.strip("[]"), int(port)
+            )
+        except (OSError, ValueError) as error:
+            raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
+        if protocol.transport is None:
+            raise TargetError(f"{address} closed the new connection")
+        return TargetConnection(address, protocol)
+
+    def _take_idle(self, address: str) -> TargetConnection | None:
+        idle = self._idle.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            if now - connection.idle_since < self._max_idle_s and connection.is_quiet():
+                return connection
+            connection.close()
+        return None
+
+    def release(self, connection: TargetConnection, *, reusable: bool) -> None:
+        """Keep a connection whose response is complete; abort any other."""
+        if connection.broken:
+            return
+        if not reusable:
+            connection.abort()
+            return
+        idle = self._idle.setdefault(connection.address, deque())
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle.append(connection)
+        if len(idle) > self._max_idle:
+            idle.popleft().close()
+        if self._sweep_timer is None:
+            self._schedule_sweep()
+
+    def _schedule_sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep_timer = loop.call_later(self._max_idle_s, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close the connections that have been idle for too long."""
+        self._sweep_timer = None
+        oldest = asyncio.get_running_loop().time() - self._max_idle_s
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].idle_since <= oldest:
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
+        if self._idle:
+            self._schedule_sweep()
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a target that failed."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
+        for address in list(self._idle):
+            self.forget(address)
+
+    def dump(self) -> dict[str, int]:
+        """Return the number of connections."""
+        idle = sum(len(connections) for connections in self._idle.values())
+        return {"opened": self.opened, "reused": self.reused, "idle": idle}
--- /dev/null
+++ b/toucanwood/entry/_entry.py
@@ -0,0 +1,159 @@
+"""The HTTP side of an instance."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+
+from toucanwood.entry._api import PREFIX, Api, describe_error
+from toucanwood.entry._client import TargetClient
+from toucanwood.entry._collaborators import (
+    ClientBlocks,
+    Dispatcher,
+    Limiter,
+    Operations,
+    Operators,
+    RankEntries,
+    RegionPlan,
+    View,
+)
+from toucanwood.entry._context import Refusal, unwrap
+from toucanwood.entry._decisions import Decision, DecisionLog
+from toucanwood.entry._forwarder import Forwarder
+from toucanwood.entry._guard import check_message, check_target
+from toucanwood.entry._operation_runner import OperationRunner
+from toucanwood.entry._pacing import LinkPacer
+from toucanwood.entry._protocol import CallerServer
+from toucanwood.entry._proxy import Proxy
+from toucanwood.entry._relay import Relay
+from toucanwood.entry._responses import build_failure
+from toucanwood.entry._retries import RetryBudget
+from toucanwood.utils import TaskGroup
+
+log = structlog.get_logger()
+
+LISTEN_BACKLOG = 1024
+DRAIN_POLL_S = 0.01
+
+
+class Entry:
+    """Serve callers, targets and operators over HTTP.
+
+    `settings` has the attributes of `settings.Settings`. `count_entries` gives the
+    number of entries in this region, which share the links to other regions.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Any,
+        view: View,
+        limiter: Limiter,
+        operations: Operations,
+        plan: RegionPlan,
+        dispatcher: Dispatcher,
+        client_blocks: ClientBlocks,
+        rank_entries: RankEntries,
+        operators: Operators,
+        count_entries: Callable[[], int] = lambda: 1,
+    ) -> None:
+        self._settings = settings
+        self._tasks = TaskGroup()
+        self._client = TargetClient()
+        self._budget = RetryBudget()
+        self._decisions = DecisionLog()
+        self._pacer = LinkPacer(region=settings.region, count_entries=count_entries)
+        forwarder = Forwarder(
+            view=view,
+            plan=plan,
+            dispatcher=dispatcher,
+            client=self._client,
+            budget=self._budget,
+        )
+        relay = Relay(view=view, pacer=self._pacer)
+        runner = OperationRunner(
+            operations=operations, forwarder=forwarder, relay=relay, tasks=self._tasks
+        )
+        self._proxy = Proxy(
+            region=settings.region,
+            view=view,
+            limiter=limiter,
+            client_blocks=client_blocks,
+            forwarder=forwarder,
+            relay=relay,
+            operations=runner,
+            decisions=self._decisions,
+        )
+        self._api = Api(
+            settings=settings,
+            view=view,
+            dispatcher=dispatcher,
+            client_blocks=client_blocks,
+            rank_entries=rank_entries,
+            operators=operators,
+            decisions=self._decisions,
+        )
+        self._server: CallerServer | None = None
+        self._listener: asyncio.Server | None = None
+        self._is_draining = False
+        self.address = settings.http
+
+    async def start(self) -> None:
+        """Listen on the address in the settings; a port of 0 picks a free one."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self._settings.http.rpartition(":")
+        self._server = CallerServer(self._handle)
+        self._listener = await loop.create_server(
+            self._server, host.strip("[]"), int(port), backlog=LISTEN_BACKLOG
+        )
+        bound = self._listener.sockets[0].getsockname()
+        family = self._listener.sockets[0].family
+        shown = f"[{bound[0]}]" if family == socket.AF_INET6 else bound[0]
+        self.address = f"{shown}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Stop at once: cancel what runs and close every connection."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._server is not None:
+            await self._server.shutdown(0)
+        await self._tasks.stop()
+        self._client.close()
+
+    def explain(self, request_id: str) -> Decision | None:
+        """Return the decision on a request, if it is still kept."""
+        return self._decisions.find(request_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON-serialisable values, without secrets."""
+        return {
+            "address": self.address,
+            "draining": self._is_draining,
+            "callers": len(self._server.connections) if self._server else 0,
+            "decisions": len(self._decisions),
+            "retries": self._budget.dump(),
+            "targets": self._client.dump(),
+            "paced_bytes": self._pacer.dump(),
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            response = await self._route(request)
+        except Refusal as refusal:
+            response = build_failure(refusal.verdict)
+        except Exception as error:
+            log.error("request_failed", error=repr(error), method=request.method)
+            response = build_failure(describe_error(error))
+        return response
+
+    async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
+        is_http11 = request.version == HttpVersion11
+        unwrap(check_message(request.method, request.headers, is_http11=is_http11))
+        path = unwrap(check_target(request.raw_path))
+        if path.startswith(PREFIX):
+            return await self._api.handle(request, path)
+        return await self._proxy.handle(request, path)
--- /dev/null
+++ b/toucanwood/entry/_protocol.py
@@ -0,0 +1,208 @@
+"""The server side of a caller's connection, guarded against slow and bad input."""
+
+import asyncio
+import select
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import structlog
+from aiohttp import web
+from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+
+from toucanwood.entry._body import BodyError
+from toucanwood.entry._responses import build_failure, encode_failure
+from toucanwood.verdicts import Verdict, refuse
+
+log = structlog.get_logger()
+
+HEADER_TIMEOUT_S = 10.0
+KEEPALIVE_TIMEOUT_S = 75.0
+# A caller that closes late gets this long to read a final response.
+LINGER_S = 2.0
+MAX_HEADER_BYTES = 32 * 1024
+MAX_LINE_BYTES = 8190
+READ_BUFFER_BYTES = 64 * 1024
+_ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class CallerConnection(RequestHandler):
+    """Parse requests of one caller and bound the time and size of each header."""
+
+    __slots__ = (
+        "_header_timer",
+        "_header_bytes",
+        "_last_body",
+        "_lingering",
+        "served_while_stopping",
+    )
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._header_timer: asyncio.TimerHandle | None = None
+        self._header_bytes = 0
+        self._last_body: StreamReader | None = None
+        self._lingering = False
+        self.served_while_stopping = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the clock of the first request header."""
+        super().connection_made(transport)
+        self._start_header_timer()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the clock."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes and watch the header that they may be part of."""
+        if self._lingering:
+            return
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count != count:
+            self._stop_header_timer()
+            self._note_messages()
+        elif data and (self._last_body is None or self._last_body.is_eof()):
+            self._watch_header(len(data))
+
+    def _note_messages(self) -> None:
+        if not self._messages:
+            return
+        message, body = self._messages[-1]
+        is_error = not isinstance(message, RawRequestMessage)
+        if is_error and self._last_body is not None and not self._last_body.is_eof():
+            # The parser reports the error only as a next message, so a handler
+            # that reads this body would wait for it in vain.
+            self._last_body.set_exception(BodyError("the request body is malformed"))
+        self._last_body = body
+
+    def _watch_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_timer is None:
+            self._start_header_timer()
+        if self._header_bytes > MAX_HEADER_BYTES:
+            message = f"the request header exceeds {MAX_HEADER_BYTES} bytes"
+            self._refuse_header(refuse("header_too_large", message, status=431))
+
+    def _start_header_timer(self) -> None:
+        self._header_timer = self._loop.call_later(
+            HEADER_TIMEOUT_S, self._on_header_timeout
+        )
+
+    def _stop_header_timer(self) -> None:
+        self._header_bytes = 0
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _on_header_timeout(self) -> None:
+        self._header_timer = None
+        message = f"no complete request header within {HEADER_TIMEOUT_S:g} s"
+        self._refuse_header(refuse("header_timeout", message, status=408))
+
+    def _refuse_header(self, verdict: Verdict) -> None:
+        if not self.is_waiting():
+            # An earlier request of this connection still runs: end after it.
+            self._close = True
+            return
+        log.info("request_malformed", code=verdict.code, peer=self.peername)
+        self.finish_with(verdict)
+
+    def is_waiting(self) -> bool:
+        """Return whether no request of this connection is running or queued."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    def is_idle(self) -> bool:
+        """Return whether nothing of a further request has arrived."""
+        if not self.is_waiting() or self._header_bytes or self.transport is None:
+            return False
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno())
+        return not any(event & select.POLLIN for _, event in poller.poll(0))
+
+    def has_queued(self) -> bool:
+        """Return whether a further request of this connection is parsed."""
+        return bool(self._messages)
+
+    def finish_with(self, verdict: Verdict) -> None:
+        """Send a last response and close once the caller has, or after a while.
+
+        On an idle connection this response answers a request that is already on
+        its way, which a plain close would cut.
+        """
+        transport = self.transport
+        self._lingering = True
+        self._stop_header_timer()
+        if transport is None or transport.is_closing():
+            return
+        reason = "Request Refused"
+        transport.write(encode_failure(verdict, reason=reason))
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._loop.call_later(LINGER_S, self.force_close)
+
+    def abort(self) -> None:
+        """Reset the connection, so that the caller sees a truncated response."""
+        transport = self.transport
+        self._force_close = True
+        if transport is None:
+            return
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT_ON_CLOSE)
+        transport.abort()
+
+    def _make_error_handler(
+        self, err_info: Any
+    ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+        verdict = _describe_parse_error(err_info)
+
+        async def refuse_request(request: web.BaseRequest) -> web.StreamResponse:
+            log.info("request_malformed", code=verdict.code, peer=self.peername)
+            response = build_failure(verdict)
+            response.force_close()
+            return response
+
+        return refuse_request
+
+    def log_exception(self, *args: Any, **kw: Any) -> None:
+        """Log an error of the server in one line."""
+        log.error("connection_failed", error=repr(kw.get("exc_info")))
+
+
+def _describe_parse_error(error: Any) -> Verdict:
+    if isinstance(error.exc, LineTooLong):
+        message = f"a line of the request header exceeds {MAX_LINE_BYTES} bytes"
+        return refuse("header_too_large", message, status=431)
+    first_line = str(error.message).strip().partition("\n")[0].rstrip(": ")
+    message = f"the request is malformed: {first_line[:120]}"
+    return refuse("request_malformed", message, status=400)
+
+
+class CallerServer(web.Server):
+    """Make guarded connections and know them all."""
+
+    def __init__(
+        self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+
+    def __call__(self) -> RequestHandler:
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+            lingering_time=LINGER_S,
+        )
--- /dev/null
+++ b/toucanwood/entry/tests/test_api.py
@@ -0,0 +1,122 @@
+"""Tests of the entry's own paths."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from toucanwood.entry.testing import (
+    OPERATOR_TOKEN,
+    TARGET_TOKEN,
+    Fixture,
+    build_declaration,
+    build_service,
+)
+
+TARGET = {
+    "id": "t1",
+    "service": "buscador",
+    "address": "127.0.0.1:1",
+    "data_centre": "norte-1",
+    "slots": 6,
+    "load": 0.5,
+}
+
+
+def run_with_entry(check):
+    async def main():
+        declaration = build_declaration(build_service("buscador", "/buscador/"))
+        async with Fixture(declaration, {}) as fixture:
+            base = f"http://{fixture.entry.address}/.toucanwood/"
+            async with aiohttp.ClientSession(base) as session:
+                await check(fixture, session)
+
+    asyncio.run(main())
+
+
+def bear(token, **headers):
+    return {"Authorization": f"Bearer {token}", **headers}
+
+
+def test_lookup_names_the_entries_and_their_time_to_live():
+    # Guards against lookups that callers cannot use or cache for too long.
+    async def check(fixture, session):
+        async with session.get("lookup?service=buscador") as response:
+            body = await response.json()
+            assert body["entries"][0]["address"] == fixture.entry.address
+            assert body["ttl"] == 2.0
+            assert response.headers["Cache-Control"] == "max-age=2"
+        async with session.get("lookup?service=other") as response:
+            assert response.status == 404
+            assert response.headers["Toucanwood-Verdict"] == "not-run"
+
+    run_with_entry(check)
+
+
+def test_targets_announce_and_leave_only_with_their_token():
+    # Guards against a stranger that attracts or stops traffic.
+    async def check(fixture, session):
+        for headers in ({}, bear("wrong"), bear(OPERATOR_TOKEN)):
+            async with session.post("targets", json=TARGET, headers=headers) as refused:
+                assert refused.status == 401
+            async with session.delete("targets/t1", headers=headers) as refused:
+                assert refused.status == 401
+        assert fixture.dispatcher.announced == []
+        token = bear(TARGET_TOKEN)
+        async with session.post("targets", json=TARGET, headers=token) as accepted:
+            assert await accepted.json() == {"lease": 2.0}
+        assert fixture.dispatcher.announced[0].slots == 6
+        async with session.delete("targets/t1", headers=token) as left:
+            assert left.status == 200
+        assert fixture.dispatcher.targets == {}
+
+    run_with_entry(check)
+
+
+def test_invalid_announcements_name_the_fault():
+    # Guards against targets that are registered with unusable figures.
+    async def check(fixture, session):
+        faults = {"slots": 0, "address": "nowhere", "load": -1, "id": ""}
+        for name, value in faults.items():
+            body = json.dumps({**TARGET, name: value})
+            headers = bear(TARGET_TOKEN)
+            async with session.post("targets", data=body, headers=headers) as refused:
+                assert refused.status == 400
+                assert name in (await refused.json())["error"]["message"]
+        assert fixture.dispatcher.announced == []
+
+    run_with_entry(check)
+
+
+def test_operator_paths_need_the_operator_token():
+    # Guards against strangers and targets that read or change the state.
+    async def check(fixture, session):
+        calls = [
+            ("GET", "declaration"),
+            ("PUT", "declaration"),
+            ("POST", "keys"),
+            ("DELETE", "keys/k1"),
+            ("GET", "dump"),
+            ("GET", "explain/r1"),
+        ]
+        for method, path in calls:
+            for headers in ({}, bear("wrong"), bear(TARGET_TOKEN)):
+                async with session.request(method, path, headers=headers) as refused:
+                    assert refused.status == 401, (method, path)
+        assert fixture.operators.withdrawn == []
+        assert fixture.operators.revision == 1
+
+    run_with_entry(check)
+
+
+def test_declaration_is_applied_on_its_base_revision():
+    # Guards against an operator who overwrites a change that he has not seen.
+    async def check(fixture, session):
+        for base, status in (("1", 200), ("1", 409), ("", 428)):
+            headers = bear(OPERATOR_TOKEN, **({"If-Match": base} if base else {}))
+            async with session.put("declaration", data="x: 1", headers=headers) as put:
+                assert put.status == status
+        async with session.get("declaration", headers=bear(OPERATOR_TOKEN)) as read:
+            assert (await read.json()) == {"revision": 2, "text": "x: 1"}
+
+    run_with_entry(check)
