--- a/toucanwood/entry/_entry.py
+++ b/toucanwood/entry/_entry.py
@@ -23,11 +23,16 @@
 )
 from toucanwood.entry._context import Refusal, unwrap
 from toucanwood.entry._decisions import Decision, DecisionLog
+from toucanwood.entry._drain import (
+    close_listener,
+    refuse_stopping,
+    wait_until_drained,
+)
 from toucanwood.entry._forwarder import Forwarder
 from toucanwood.entry._guard import check_message, check_target
 from toucanwood.entry._operation_runner import OperationRunner
 from toucanwood.entry._pacing import LinkPacer
-from toucanwood.entry._protocol import CallerServer
+from toucanwood.entry._protocol import CallerConnection, CallerServer
 from toucanwood.entry._proxy import Proxy
 from toucanwood.entry._relay import Relay
 from toucanwood.entry._responses import build_failure
@@ -37,7 +42,6 @@
 log = structlog.get_logger()
 
 LISTEN_BACKLOG = 1024
-DRAIN_POLL_S = 0.01
 
 
 class Entry:
@@ -115,6 +119,18 @@
         shown = f"[{bound[0]}]" if family == socket.AF_INET6 else bound[0]
         self.address = f"{shown}:{bound[1]}"
 
+    async def drain(self, *, timeout: float) -> bool:
+        """Finish running requests and take no new ones; return whether all ended.
+
+        The caller first removes the instance from lookup responses and waits for
+        their time to live. A request that arrives on an open connection is still
+        served, as the last one on that connection. `timeout` is in seconds.
+        """
+        assert self._listener is not None and self._server is not None
+        self._is_draining = True
+        await close_listener(self._listener)
+        return await wait_until_drained(self._server, self._tasks, timeout=timeout)
+
     async def stop(self) -> None:
         """Stop at once: cancel what runs and close every connection."""
         if self._listener is not None:
@@ -142,18 +158,46 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
+            self._refuse_second_while_draining(request)
             response = await self._route(request)
         except Refusal as refusal:
             response = build_failure(refusal.verdict)
         except Exception as error:
             log.error("request_failed", error=repr(error), method=request.method)
             response = build_failure(describe_error(error))
+        self._end_connection_while_draining(request, response)
         return response
 
+    def _refuse_second_while_draining(self, request: web.BaseRequest) -> None:
+        connection = request.protocol
+        if self._is_draining and isinstance(connection, CallerConnection):
+            if connection.served_while_draining:
+                raise Refusal(refuse_stopping())
+            connection.served_while_draining = True
+
+    def _end_connection_while_draining(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        connection = request.protocol
+        if not self._is_draining or not isinstance(connection, CallerConnection):
+            return
+        # Requests that were pipelined behind this one get their own refusal.
+        if not response.prepared and not connection.has_queued():
+            response.force_close()
+
     async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
-        is_http11 = request.version == HttpVersion11
-        unwrap(check_message(request.method, request.headers, is_http11=is_http11))
-        path = unwrap(check_target(request.raw_path))
+        path = _check_request(request)
         if path.startswith(PREFIX):
             return await self._api.handle(request, path)
         return await self._proxy.handle(request, path)
+
+
+def _check_request(request: web.BaseRequest) -> str:
+    """Return the path; log and raise `Refusal` if the request is malformed."""
+    is_http11 = request.version == HttpVersion11
+    try:
+        unwrap(check_message(request.method, request.headers, is_http11=is_http11))
+        return unwrap(check_target(request.raw_path))
+    except Refusal as refusal:
+        log.info("request_malformed", code=refusal.verdict.code, peer=request.remote)
+        raise
--- a/toucanwood/entry/_protocol.py
+++ b/toucanwood/entry/_protocol.py
@@ -38,7 +38,7 @@
         "_header_bytes",
         "_last_body",
         "_lingering",
-        "served_while_stopping",
+        "served_while_draining",
     )
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -47,7 +47,7 @@
         self._header_bytes = 0
         self._last_body: StreamReader | None = None
         self._lingering = False
-        self.served_while_stopping = False
+        self.served_while_draining = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the clock of the first request header."""
@@ -121,7 +121,9 @@
 
     def is_idle(self) -> bool:
         """Return whether nothing of a further request has arrived."""
-        if not self.is_waiting() or self._header_bytes or self.transport is None:
+        if not self.is_waiting() or self._lingering or self._header_bytes:
+            return False
+        if self.transport is None:
             return False
         poller = select.poll()
         poller.register(self.transport.get_extra_info("socket").fileno())
@@ -148,6 +150,16 @@
             transport.write_eof()
         self._loop.call_later(LINGER_S, self.force_close)
 
+    def _process_keepalive(self) -> None:
+        is_due = self._loop.time() >= self._next_keepalive_close_time
+        if is_due and self._keepalive and self.is_idle():
+            message = f"the connection was idle for {KEEPALIVE_TIMEOUT_S:g} s"
+            self.finish_with(
+                refuse("connection_idle", message, status=408, retry_after=0)
+            )
+            return
+        super()._process_keepalive()
+
     def abort(self) -> None:
         """Reset the connection, so that the caller sees a truncated response."""
         transport = self.transport
--- /dev/null
+++ b/toucanwood/entry/tests/fake_target.py
@@ -0,0 +1,149 @@
+"""A target over real TCP that can fail at every step and counts executions."""
+
+import asyncio
+import contextlib
+import socket
+from collections import Counter
+
+STEPS = (
+    "none",
+    "refuse",
+    "accept_and_close",
+    "close_after_first_byte",
+    "close_after_last_byte",
+    "close_before_response",
+    "close_in_headers",
+    "close_in_body",
+    "close_in_large_body",
+    "close_in_chunked_body",
+    "close_after_body",
+    "never_answer",
+    "answer_twice",
+    "answer_twice_late",
+    "garbage",
+    "shed",
+)
+# The target has not executed the request when it fails at one of these steps.
+NOT_EXECUTED = {
+    "refuse",
+    "accept_and_close",
+    "close_after_first_byte",
+    "close_after_last_byte",
+    "shed",
+}
+LARGE = 300_000
+
+
+class FakeTarget:
+    """Answer with the operation's id; `step` names where the next requests fail."""
+
+    def __init__(self, step="none"):
+        self.step = step
+        self.executions = Counter()
+        self.requests_by_connection = []
+        self.cancelled = 0
+        self.heads = []
+        self.address = ""
+        self._server = None
+        self._tasks = set()
+
+    async def __aenter__(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
+        if self.step != "refuse":
+            host, port = self.address.split(":")
+            self._server = await asyncio.start_server(self._accept, host, int(port))
+        return self
+
+    async def __aexit__(self, *_):
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self, reader, writer):
+        task = asyncio.ensure_future(self._serve(reader, writer))
+        self._tasks.add(task)
+
+    async def _serve(self, reader, writer):
+        index = len(self.requests_by_connection)
+        self.requests_by_connection.append([])
+        ended = (asyncio.IncompleteReadError, ConnectionError)
+        try:
+            with contextlib.suppress(*ended):
+                while await self._serve_one(reader, writer, index):
+                    pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer, index):
+        if self.step == "accept_and_close":
+            return False
+        first = await reader.readexactly(1)
+        if self.step == "close_after_first_byte":
+            writer.transport.abort()
+            return False
+        head = first + await reader.readuntil(b"\r\n\r\n")
+        operation, body = await self._read_request(head.decode(), reader)
+        self.heads.append(head.decode())
+        self.requests_by_connection[index].append((operation, self.step))
+        if self.step == "close_after_last_byte":
+            return False
+        if self.step == "shed":
+            writer.write(b"HTTP/1.1 503 Shed\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self.executions[operation] += 1
+        return await self._answer(reader, writer, operation, body)
+
+    async def _read_request(self, head, reader):
+        headers = {}
+        for line in head.split("\r\n")[1:]:
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        body = b""
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readline()
+            await reader.readline()
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return headers.get("x-operation", ""), body
+
+    async def _answer(self, reader, writer, operation, body):
+        text = f"{operation}:{len(body)}".encode()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text
+        step = self.step
+        if step == "close_before_response":
+            return False
+        if step == "close_in_headers":
+            answer = answer[:25]
+        elif step == "close_in_body":
+            answer = answer[:-2]
+        elif step == "close_in_large_body":
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE
+            answer = head + b"x" * (LARGE // 2)
+        elif step == "close_in_chunked_body":
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            answer = head + b"%x\r\n%s\r\n" % (len(text), text)
+        elif step == "garbage":
+            answer = b"\x00\x01 not http at all\r\n\r\n"
+        elif step == "answer_twice":
+            answer += answer
+        elif step == "never_answer":
+            await self._wait_for_end(reader)
+            return False
+        writer.write(answer)
+        if step == "answer_twice_late":
+            await asyncio.sleep(0.01)
+            writer.write(answer)
+        await writer.drain()
+        return not step.startswith("close")
+
+    async def _wait_for_end(self, reader):
+        try:
+            await reader.read(1)
+        finally:
+            self.cancelled += 1
--- /dev/null
+++ b/toucanwood/entry/tests/test_guard.py
@@ -0,0 +1,223 @@
+"""Tests of input that the entry refuses, over real connections."""
+
+import asyncio
+import contextlib
+import io
+import logging
+
+import structlog
+
+from toucanwood.entry import _protocol
+from toucanwood.entry.tests.raw import (
+    AUTH,
+    build_get,
+    connect,
+    read_response,
+    run_with_target,
+    send_raw,
+)
+
+BODY = AUTH + "Connection: close\r\n"
+SLOW_HEAD = b"GET /buscador/2 HTTP/1.1\r\nX: " + b"a" * 500
+REFUSED_TARGETS = [
+    "http://h/buscador/x",
+    "http://evil/abierto/x",
+    "*",
+    "buscador/x",
+    "/abierto/../buscador/x",
+    "/abierto/./x",
+    "/abierto/..",
+    "/abierto/%2e%2e/buscador/x",
+    "/abierto/.%2E/buscador/x",
+    "/abierto/%252e%252e/buscador/x",
+    "/abierto/%2e%2e%2fbuscador/x",
+    "/abierto/..;/buscador/x",
+    "/abierto/..%5cbuscador/x",
+    "/abierto/x#y",
+    "/abierto/%zz",
+    "/abierto/%00",
+    "//buscador/x",
+    "/%62uscador/x",
+]
+REFUSED_HEADS = {
+    "both framings": "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    "two lengths": "Content-Length: 3\r\nContent-Length: 4\r\n",
+    "equal lengths": "Content-Length: 3\r\nContent-Length: 3\r\n",
+    "list of lengths": "Content-Length: 3, 3\r\n",
+    "signed length": "Content-Length: +3\r\n",
+    "two codings": "Transfer-Encoding: gzip, chunked\r\n",
+    "unknown coding": "Transfer-Encoding: xchunked\r\n",
+    "repeated coding": "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "space before colon": "Content-Length : 3\r\n",
+    "folded line": "X: a\r\n b\r\n",
+    "two hosts": "Host: other\r\n",
+    "long line": f"X: {'a' * 9000}\r\n",
+    "many lines": "X: a\r\n" * 200,
+}
+
+
+def read_status(response):
+    assert response.startswith((b"HTTP/1.0 ", b"HTTP/1.1 ")), response[:100]
+    return int(response[9:12])
+
+
+def test_targets_with_more_than_one_reading_are_refused():
+    # Guards against a path that reaches a keyed route over an open one, and against
+    # a request target that a target resolves in another way than the entry.
+    async def check(fixture, target):
+        for path in REFUSED_TARGETS:
+            data = build_get(path, "Connection: close\r\n")
+            response = await send_raw(fixture.entry.address, data)
+            assert 400 <= read_status(response) < 500, path
+            assert b"Toucanwood-Verdict: not-run" in response, path
+        assert fixture.dispatcher.granted == 0
+
+    run_with_target(check)
+
+
+def test_unusual_but_unambiguous_targets_are_forwarded_unchanged():
+    # Guards against a guard that refuses or rewrites legitimate requests.
+    async def check(fixture, target):
+        for path in ("/abierto/a%20b?q=../x&u=//h", "/abierto/a..b/...", "/abierto/"):
+            data = build_get(path, "Connection: close\r\n")
+            response = await send_raw(fixture.entry.address, data)
+            assert read_status(response) == 200, path
+            assert target.heads[-1].startswith(f"GET {path} HTTP/1.1\r\n")
+
+    run_with_target(check)
+
+
+def test_ambiguous_framing_is_refused():
+    # Guards against request smuggling: a body that target and entry end differently.
+    async def check(fixture, target):
+        for name, headers in REFUSED_HEADS.items():
+            head = f"POST /buscador/ HTTP/1.1\r\nHost: h\r\n{BODY}{headers}\r\n"
+            response = await send_raw(fixture.entry.address, head.encode() + b"abc")
+            assert 400 <= read_status(response) < 500, name
+            assert b"Toucanwood-Verdict: not-run" in response, name
+        http10 = f"POST /buscador/ HTTP/1.0\r\n{AUTH}Transfer-Encoding: chunked\r\n\r\n"
+        response = await send_raw(fixture.entry.address, http10.encode() + b"0\r\n\r\n")
+        assert read_status(response) == 400
+        assert fixture.dispatcher.granted == 0
+
+    run_with_target(check)
+
+
+@contextlib.contextmanager
+def capture_logs():
+    """Collect what structlog and the standard loggers write."""
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    logging.getLogger().addHandler(handler)
+    with structlog.testing.capture_logs() as events:
+        try:
+            yield events, stream
+        finally:
+            logging.getLogger().removeHandler(handler)
+
+
+def test_malformed_request_logs_one_line():
+    # Guards against tracebacks in the log that any caller can cause at will.
+    async def check(fixture, target):
+        garbage = [
+            b"\x16\x03\x01\x02\x00garbage\r\n\r\n",
+            b"GET\r\n\r\n",
+            b"G T / x\r\n",
+        ]
+        for data in garbage:
+            with capture_logs() as (events, stream):
+                response = await send_raw(fixture.entry.address, data)
+            assert read_status(response) == 400, data
+            assert [event["event"] for event in events] == ["request_malformed"]
+            assert "Traceback" not in stream.getvalue()
+            assert stream.getvalue() == ""
+
+    run_with_target(check)
+
+
+@contextlib.contextmanager
+def shorten_header_timeout(seconds):
+    previous = _protocol.HEADER_TIMEOUT_S
+    _protocol.HEADER_TIMEOUT_S = seconds
+    try:
+        yield
+    finally:
+        _protocol.HEADER_TIMEOUT_S = previous
+
+
+async def trickle(writer, data):
+    with contextlib.suppress(ConnectionError):
+        for byte in data:
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.01)
+
+
+def test_trickled_header_is_refused_in_time():
+    # Guards against callers that hold connections open byte by byte, also after a
+    # first complete request.
+    async def check(fixture, target):
+        for first in (b"", build_get("/buscador/1")):
+            async with connect(fixture.entry.address) as (reader, writer):
+                if first:
+                    writer.write(first)
+                    assert (await read_response(reader))[0] == 200
+                sender = asyncio.create_task(trickle(writer, SLOW_HEAD))
+                status, headers, _ = await read_response(reader)
+                assert status == 408
+                assert headers["toucanwood-verdict"] == "not-run"
+                assert await reader.read() == b""
+                sender.cancel()
+
+    with shorten_header_timeout(0.2):
+        run_with_target(check)
+
+
+def test_header_timeout_does_not_cut_a_running_request():
+    # Guards against a timer of the next header that ends the response before it.
+    async def check(fixture, target):
+        fixture.dispatcher.gate = asyncio.Event()
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/1"))
+            await asyncio.sleep(0.05)
+            writer.write(b"GET /buscador/2 HTT")
+            await asyncio.sleep(0.3)
+            fixture.dispatcher.gate.set()
+            assert (await read_response(reader))[0] == 200
+
+    with shorten_header_timeout(0.1):
+        run_with_target(check)
+
+
+def test_body_cut_short_does_not_reach_the_target():
+    # Guards against half a body that a target takes for a whole one.
+    async def check(fixture, target):
+        head = f"POST /kasse/ HTTP/1.1\r\nHost: h\r\n{AUTH}"
+        cut = [
+            f"{head}Content-Length: 10\r\n\r\nabc",
+            f"{head}Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        ]
+        for data in cut:
+            async with connect(fixture.entry.address) as (reader, writer):
+                writer.write(data.encode())
+                await asyncio.sleep(0.05)
+        malformed = f"{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+        response = await send_raw(fixture.entry.address, malformed.encode())
+        assert read_status(response) == 400
+        assert b"Toucanwood-Verdict: not-run" in response
+        assert fixture.dispatcher.granted == 0
+
+    run_with_target(check)
+
+
+def test_caller_that_expects_continue_gets_it_before_the_body():
+    # Guards against uploads that stall because nobody invites the body.
+    async def check(fixture, target):
+        head = f"POST /kasse/ HTTP/1.1\r\nHost: h\r\n{AUTH}Expect: 100-continue\r\n"
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(f"{head}Content-Length: 3\r\n\r\n".encode())
+            assert (await read_response(reader))[0] == 100
+            writer.write(b"abc")
+            assert (await read_response(reader))[0] == 200
+            assert "Expect" not in target.heads[-1]
+
+    run_with_target(check)
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -22,6 +22,10 @@
         task.add_done_callback(self._finish)
         return task
 
+    def is_busy(self) -> bool:
+        """Return whether a task is running."""
+        return bool(self._tasks)
+
     async def stop(self) -> None:
         """Cancel every task and wait for it."""
         current = asyncio.current_task()
