Prove the verdicts with a fault matrix over real connections

The matrix found a false not-run: the limit on an operation ended in its caller's task before the attempt in the operation's own task had noted that it had written. The context now reads the progress of the running attempt.

--- a/toucanwood/entry/_context.py
+++ b/toucanwood/entry/_context.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result
 
 from toucanwood.entry._body import RequestBody
+from toucanwood.entry._client import Progress
 from toucanwood.entry._decisions import Decision
 from toucanwood.entry._routing import Match
 from toucanwood.verdicts import Verdict
@@ -40,10 +41,26 @@
     deadline: float
     key: str | None = None
     organisation: str = ""
-    may_have_run: bool = False
+    has_doubt: bool = False
+    progress: Progress | None = None
     holds_token: bool = False
     response: web.StreamResponse | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have run, at this very moment.
+
+        The limit on the request can end while an attempt is in progress elsewhere.
+        """
+        progress = self.progress
+        return self.has_doubt or (progress is not None and progress.written)
+
+    def settle(self, *, is_proven_not_run: bool) -> None:
+        """Note the end of an attempt and whether it is proven not to have run."""
+        if not is_proven_not_run and self.may_have_run:
+            self.has_doubt = True
+        self.progress = None
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -55,7 +55,6 @@
             exchange = Exchange(self._client, self._dispatcher, lease, record)
             failure = await self._attempt(context, exchange)
             if failure is None:
-                context.may_have_run = True
                 return exchange
             failed.append(lease.target_id)
             if not self._may_retry(context, failure):
@@ -90,6 +89,7 @@
         self, context: RequestContext, exchange: Exchange
     ) -> Verdict | None:
         """Try one target; return the verdict if that fails."""
+        context.progress = exchange.progress
         try:
             self._check_key(context)
             await self._run(context, exchange)
@@ -98,7 +98,8 @@
             raise
         except BodyError as error:
             exchange.finish(OutcomeKind.CANCELLED, str(error))
-            raise Refusal(_describe_body_error(context, exchange, error)) from error
+            context.settle(is_proven_not_run=False)
+            raise Refusal(_describe_body_error(context, error)) from error
         except TargetError as error:
             return _settle_error(context, exchange, error)
         except BaseException:
@@ -106,6 +107,7 @@
             raise
         if exchange.message.code in context.match.service.shed_statuses:
             exchange.finish(OutcomeKind.SHED)
+            context.settle(is_proven_not_run=True)
             message = f"target {exchange.record.target} shed the request"
             return refuse("target_shed", message, status=503, retry_after=RETRY_AFTER_S)
         return None
@@ -180,9 +182,8 @@
     context: RequestContext, exchange: Exchange, error: TargetError
 ) -> Verdict:
     """Finish an attempt that failed and return what is proven of it."""
-    progress = exchange.progress
-    if progress.written:
-        context.may_have_run = True
+    context.settle(is_proven_not_run=False)
+    if exchange.progress.written:
         exchange.finish(OutcomeKind.FAILED, str(error))
         return doubt("target_failed", str(error), status=502)
     exchange.forget_idle()
@@ -196,17 +197,12 @@
 
 
 def _settle_cancellation(context: RequestContext, exchange: Exchange) -> None:
-    if exchange.progress.written:
-        context.may_have_run = True
+    context.settle(is_proven_not_run=False)
     is_late = asyncio.get_running_loop().time() >= context.deadline
     exchange.finish(OutcomeKind.TIMED_OUT if is_late else OutcomeKind.CANCELLED)
 
 
-def _describe_body_error(
-    context: RequestContext, exchange: Exchange, error: BodyError
-) -> Verdict:
-    if exchange.progress.written:
-        context.may_have_run = True
+def _describe_body_error(context: RequestContext, error: BodyError) -> Verdict:
     if context.may_have_run:
         return doubt("body_invalid", str(error), status=400)
     return refuse("body_invalid", str(error), status=400)
