Add pacing, memory, proxy and fuzz tests; let idle connections rest

A target that answers one request twice could reach the next request on the same connection. A connection is now quiet for 20 ms before it is used again, and connections of non-idempotent requests are not kept.

--- a/toucanwood/entry/_client.py
+++ b/toucanwood/entry/_client.py
@@ -20,6 +20,9 @@
 READ_BUFFER_BYTES = 64 * 1024
 MAX_IDLE_PER_TARGET = 8
 MAX_IDLE_S = 15.0
+# A target that answers one request twice would answer the next request wrongly. A
+# connection is used again only after it was quiet for this long.
+MIN_IDLE_S = 0.02
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -142,9 +145,11 @@
         *,
         max_idle_per_target: int = MAX_IDLE_PER_TARGET,
         max_idle_s: float = MAX_IDLE_S,
+        min_idle_s: float = MIN_IDLE_S,
     ) -> None:
         self._max_idle = max_idle_per_target
         self._max_idle_s = max_idle_s
+        self._min_idle_s = min_idle_s
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self.opened = 0
@@ -182,8 +187,11 @@
         idle = self._idle.get(address)
         now = asyncio.get_running_loop().time()
         while idle:
-            connection = idle.pop()
-            if now - connection.idle_since < self._max_idle_s and connection.is_quiet():
+            age = now - idle[0].idle_since
+            if age < self._min_idle_s:
+                return None
+            connection = idle.popleft()
+            if age < self._max_idle_s and connection.is_quiet():
                 return connection
             connection.close()
         return None
@@ -196,10 +204,11 @@
             connection.abort()
             return
         idle = self._idle.setdefault(connection.address, deque())
+        if len(idle) >= self._max_idle:
+            connection.close()
+            return
         connection.idle_since = asyncio.get_running_loop().time()
         idle.append(connection)
-        if len(idle) > self._max_idle:
-            idle.popleft().close()
         if self._sweep_timer is None:
             self._schedule_sweep()
 
--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -46,10 +46,12 @@
         self._lease = lease
         self._connection: TargetConnection | None = None
         self._sender: asyncio.Task[None] | None = None
+        self._may_keep = False
         self._is_finished = False
 
     async def open(self, *, reuse: bool) -> None:
-        """Get a connection to the target."""
+        """Get a connection to the target; only with `reuse` it is kept afterwards."""
+        self._may_keep = reuse
         self._connection = await self._client.open(
             self._lease.address, reuse=reuse, progress=self.progress
         )
@@ -147,7 +149,8 @@
         if self._connection is None:
             return
         reusable = (
-            is_sent
+            self._may_keep
+            and is_sent
             and kind is OutcomeKind.COMPLETED
             and self._connection.is_reusable(self.message, self.content)
         )
--- /dev/null
+++ b/toucanwood/entry/tests/test_drain.py
@@ -0,0 +1,114 @@
+"""Tests of the graceful shutdown."""
+
+import asyncio
+import contextlib
+
+from toucanwood.entry.tests.raw import (
+    build_get,
+    connect,
+    read_response,
+    run_with_target,
+)
+
+
+async def wait_for_slot(fixture):
+    while not fixture.dispatcher.held:
+        await asyncio.sleep(0.005)
+
+
+def test_drain_finishes_running_requests():
+    # Guards against a planned stop that cuts a response.
+    async def check(fixture, target):
+        fixture.dispatcher.gate = asyncio.Event()
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/kasse/1"))
+            await asyncio.sleep(0.03)
+            drain = asyncio.create_task(fixture.entry.drain(timeout=10))
+            await asyncio.sleep(0.03)
+            assert not drain.done()
+            fixture.dispatcher.gate.set()
+            status, headers, _ = await read_response(reader)
+            assert (status, headers["connection"]) == (200, "close")
+            assert await reader.read() == b""
+            assert await drain
+
+    run_with_target(check)
+
+
+def test_drain_answers_a_request_that_crosses_the_close():
+    # Guards against an idle connection that closes under a request that its caller
+    # has just sent: the request must be answered, served or "not run".
+    async def check(fixture, target):
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/1"))
+            assert (await read_response(reader))[0] == 200
+            drain = asyncio.create_task(fixture.entry.drain(timeout=10))
+            await asyncio.sleep(0.05)
+            writer.write(build_get("/buscador/2"))
+            status, headers, _ = await read_response(reader)
+            assert status == 503
+            assert headers["toucanwood-verdict"] == "not-run"
+            assert await reader.read() == b""
+            writer.close()
+            assert await drain
+        assert sum(target.executions.values()) == 1
+
+    run_with_target(check)
+
+
+def test_drain_serves_what_has_arrived():
+    # Guards against refusals of requests that reached the instance before it closed.
+    async def check(fixture, target):
+        async with contextlib.AsyncExitStack() as stack:
+            connections = [
+                await stack.enter_async_context(connect(fixture.entry.address))
+                for _ in range(20)
+            ]
+            for _, writer in connections:
+                writer.write(build_get("/buscador/1"))
+            drain = asyncio.create_task(fixture.entry.drain(timeout=10))
+            for reader, writer in connections:
+                assert (await read_response(reader))[0] == 200
+                writer.close()
+            assert await drain
+
+    run_with_target(check)
+
+
+def test_drain_refuses_pipelined_requests_with_a_verdict():
+    # Guards against a caller that keeps an instance from stopping, and against
+    # pipelined requests that vanish without an answer.
+    async def check(fixture, target):
+        fixture.dispatcher.gate = asyncio.Event()
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/1") + build_get("/buscador/2") * 3)
+            await asyncio.sleep(0.03)
+            drain = asyncio.create_task(fixture.entry.drain(timeout=10))
+            await asyncio.sleep(0.03)
+            fixture.dispatcher.gate.set()
+            statuses = [(await read_response(reader))[0] for _ in range(4)]
+            # The first was running; the drain sees the second as the last to serve.
+            assert statuses == [200, 200, 503, 503]
+            writer.close()
+            assert await drain
+        assert sum(target.executions.values()) == 2
+
+    run_with_target(check)
+
+
+def test_drain_refuses_new_connections_and_gives_up_at_the_limit():
+    # Guards against a stop that never ends, and against traffic after the drain.
+    async def check(fixture, target):
+        target.step = "never_answer"
+        async with connect(fixture.entry.address) as (_, writer):
+            writer.write(build_get("/buscador/1"))
+            await wait_for_slot(fixture)
+            assert not await fixture.entry.drain(timeout=0.1)
+            try:
+                async with connect(fixture.entry.address):
+                    raise AssertionError("the instance still accepts connections")
+            except ConnectionError:
+                pass
+            await fixture.entry.stop()
+
+    run_with_target(check)
--- /dev/null
+++ b/toucanwood/entry/tests/test_fuzz.py
@@ -0,0 +1,177 @@
+"""Stateful fuzz: callers that cancel, resend and cross, over failing targets."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from toucanwood.entry.testing import KEY, Fixture, build_declaration, build_service
+from toucanwood.entry.tests.fake_target import STEPS, FakeTarget
+
+DEADLINE_S = 0.3
+LIVE_STEPS = [step for step in STEPS if step != "refuse"]
+KINDS = ("idempotent", "non-idempotent", "operation")
+DEAD_ADDRESS = "127.0.0.1:1"
+
+
+@attrs.define(eq=False)
+class Sent:
+    """Remember one request and what its caller was told."""
+
+    kind: str
+    operation: str
+    task: asyncio.Task = None
+    verdict: str | None = None
+    status: int = 0
+    body: bytes = b""
+
+
+class Callers(RuleBasedStateMachine):
+    """Drive an entry from several callers and compare it with the targets."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.sent = []
+        self.operations = 0
+        self.loop.run_until_complete(self._set_up())
+
+    async def _set_up(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.targets = [
+            await self.stack.enter_async_context(FakeTarget()) for _ in range(2)
+        ]
+        declaration = build_declaration(
+            build_service("buscador", "/buscador/", deadline=DEADLINE_S),
+            build_service("kasse", "/kasse/", idempotent=False, deadline=DEADLINE_S),
+        )
+        self.addresses = {f"t{i}": x.address for i, x in enumerate(self.targets)}
+        self.fixture = Fixture(declaration, self.addresses)
+        await self.stack.enter_async_context(self.fixture)
+        base = f"http://{self.fixture.entry.address}"
+        session = aiohttp.ClientSession(base, connector=aiohttp.TCPConnector(limit=0))
+        self.session = await self.stack.enter_async_context(session)
+
+    def _start(self, kind, name):
+        operation = f"{name}.{len(self.sent)}"
+        sent = Sent(kind, operation)
+        sent.task = self.loop.create_task(self._send(sent, name))
+        self.sent.append(sent)
+
+    async def _send(self, sent, name):
+        headers = {"X-Api-Key": KEY, "X-Operation": sent.operation}
+        path = "/buscador/" if sent.kind == "idempotent" else "/kasse/"
+        if sent.kind == "operation":
+            headers["Idempotency-Key"] = name
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self.session.post(path, data=b"1", headers=headers) as response:
+                sent.verdict = response.headers.get("Toucanwood-Verdict")
+                sent.body = await response.read()
+                sent.status = response.status
+
+    def _run_for(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(kind=st.sampled_from(KINDS))
+    def send(self, kind):
+        self._start(kind, f"op{self.operations}")
+        self.operations += 1
+
+    @rule(index=st.integers(0, 20), wait=st.booleans())
+    def resend(self, index, wait):
+        operations = [sent for sent in self.sent if sent.kind == "operation"]
+        if operations:
+            name = operations[index % len(operations)].operation.split(".")[0]
+            self._start("operation", name)
+            if wait:
+                self._run_for(0.01)
+
+    @rule(index=st.integers(0, 20))
+    def cancel(self, index):
+        running = [sent for sent in self.sent if not sent.task.done()]
+        if running:
+            running[index % len(running)].task.cancel()
+
+    @rule(index=st.integers(0, 1), step=st.sampled_from(LIVE_STEPS))
+    def change_target(self, index, step):
+        self.targets[index].step = step
+
+    @rule(index=st.integers(0, 1), is_dead=st.booleans())
+    def move_target(self, index, is_dead):
+        name = f"t{index}"
+        address = DEAD_ADDRESS if is_dead else self.addresses[name]
+        self.fixture.dispatcher.targets[name] = address
+
+    @rule(is_withdrawn=st.booleans())
+    def change_key(self, is_withdrawn):
+        withdrawn = self.fixture.view.withdrawn
+        (withdrawn.add if is_withdrawn else withdrawn.discard)(KEY)
+
+    @rule(ticks=st.integers(0, 4))
+    def run(self, ticks):
+        self._run_for(ticks * 0.002)
+
+    @invariant()
+    def callers_are_told_the_truth(self):
+        self._run_for(0)
+        self._compare()
+
+    def _compare(self):
+        runs = {}
+        for sent in self.sent:
+            count = sum(target.executions[sent.operation] for target in self.targets)
+            name = sent.operation.split(".")[0]
+            runs[name] = runs.get(name, 0) + count
+            if sent.verdict == "not-run":
+                assert count == 0, "ran although it was reported as not run"
+            elif sent.status == 200 and sent.kind == "operation":
+                assert sent.body.startswith(f"{name}.".encode())
+            elif sent.status == 200:
+                assert sent.body == f"{sent.operation}:1".encode()
+            if sent.kind != "idempotent":
+                assert runs[name] <= 1, "ran twice"
+
+    def teardown(self):
+        try:
+            self.loop.run_until_complete(self._finish())
+        finally:
+            self.loop.run_until_complete(self.stack.aclose())
+            self.loop.close()
+
+    async def _finish(self):
+        tasks = [sent.task for sent in self.sent]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        # Operations outlive their callers, but not their deadline.
+        if self.fixture.dispatcher.held:
+            await asyncio.sleep(DEADLINE_S * 1.5)
+        assert self.fixture.dispatcher.held == set(), "a slot was not released"
+        self._compare()
+        for target in self.targets:
+            for requests in target.requests_by_connection:
+                for _, step in requests[:-1]:
+                    assert step in ("none", "shed"), "a failed connection was reused"
+
+
+def test_callers_that_cancel_resend_and_cross():
+    # Guards against double runs, false verdicts, mixed-up responses and lost slots
+    # that need several callers or failures in a certain order.
+    run_state_machine_as_test(
+        Callers,
+        settings=settings(
+            max_examples=40,
+            stateful_step_count=25,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
--- /dev/null
+++ b/toucanwood/entry/tests/test_memory.py
@@ -0,0 +1,79 @@
+"""Tests of bounded memory while large bodies pass through."""
+
+import asyncio
+import pathlib
+
+from toucanwood.entry.testing import Fixture, build_declaration, build_service
+from toucanwood.entry.tests.raw import AUTH, build_get, connect
+
+MIB = 1024 * 1024
+BLOCK = b"x" * 256 * 1024
+
+
+def read_rss():
+    """Return the resident memory of this process in bytes."""
+    status = pathlib.Path("/proc/self/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
+async def serve_large(reader, writer):
+    """Send as much as the entry takes."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = int(head.split(b" ")[1].rsplit(b"/", 1)[1])
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    try:
+        for _ in range(size // len(BLOCK)):
+            writer.write(BLOCK)
+            await writer.drain()
+    except ConnectionError:
+        pass
+    writer.close()
+
+
+def run_download(check):
+    async def main():
+        server = await asyncio.start_server(serve_large, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        service = build_service("archiv", "/archiv/", deadline=600)
+        declaration = build_declaration(service)
+        async with Fixture(declaration, {"t1": address}) as fixture:
+            await check(fixture)
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_download_of_a_gigabyte_does_not_grow_the_process():
+    # Guards against bodies that pile up between a fast target and a slower caller.
+    async def check(fixture):
+        size = 1024 * MIB
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get(f"/archiv/{MIB}"))
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(MIB)
+            before = peak = read_rss()
+            writer.write(build_get(f"/archiv/{size}", AUTH))
+            await reader.readuntil(b"\r\n\r\n")
+            for _ in range(size // len(BLOCK)):
+                await reader.readexactly(len(BLOCK))
+                peak = max(peak, read_rss())
+            assert peak - before < 16 * MIB
+
+    run_download(check)
+
+
+def test_caller_that_does_not_read_stops_the_target():
+    # Guards against an entry that buffers for callers that have stopped reading.
+    async def check(fixture):
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get(f"/archiv/{1024 * MIB}"))
+            await reader.readuntil(b"\r\n\r\n")
+            before = read_rss()
+            await asyncio.sleep(0.5)
+            assert read_rss() - before < 16 * MIB
+            writer.transport.abort()
+            while fixture.dispatcher.held:
+                await asyncio.sleep(0.01)
+
+    run_download(check)
--- /dev/null
+++ b/toucanwood/entry/tests/test_pacing.py
@@ -0,0 +1,85 @@
+"""Tests of pacing and of the retry budget."""
+
+import asyncio
+from types import SimpleNamespace
+
+from toucanwood.entry._pacing import BURST_S, FREE_BYTES, LinkPacer
+from toucanwood.entry._retries import RetryBudget
+from toucanwood.entry.testing import KEY, Fixture, build_declaration, build_service
+from toucanwood.entry.tests.fake_target import LARGE, FakeTarget
+from toucanwood.entry.tests.raw import AUTH, build_get, send_raw
+from toucanwood.utils import run_virtual
+
+LINK = SimpleNamespace(regions=["norte", "sureste"], capacity_mbit=8, bulk_share=0.5)
+
+
+def test_downloads_together_stay_within_the_share_of_the_link():
+    # Guards against downloads that fill a link and delay small requests on it.
+    async def main():
+        declaration = build_declaration(links=[LINK])
+        pacer = LinkPacer(region="norte", count_entries=lambda: 2)
+        loop = asyncio.get_running_loop()
+
+        async def download():
+            for _ in range(50):
+                await pacer.take(declaration, "sureste", 10_000)
+
+        started = loop.time()
+        await asyncio.gather(*(download() for _ in range(4)))
+        # 8 Mbit/s, half of it for downloads, half of that for this entry.
+        rate = 8 * 125_000 * 0.5 / 2
+        assert loop.time() - started >= 4 * 500_000 / rate - BURST_S
+        assert loop.time() - started <= 4 * 500_000 / rate * 1.001
+
+    run_virtual(main())
+
+
+def test_only_declared_links_to_other_regions_are_paced():
+    # Guards against pacing of traffic inside a region.
+    async def main():
+        declaration = build_declaration(links=[LINK])
+        pacer = LinkPacer(region="norte", count_entries=lambda: 1)
+        started = asyncio.get_running_loop().time()
+        for region in ("norte", "occidente"):
+            await pacer.take(declaration, region, 10**9)
+        assert asyncio.get_running_loop().time() == started
+
+    run_virtual(main())
+
+
+def test_large_responses_are_paced_and_small_ones_are_not():
+    # Guards against pacing that is not applied, or that hits small responses.
+    async def main():
+        link = SimpleNamespace(**{**vars(LINK), "capacity_mbit": 16})
+        service = build_service("archiv", "/archiv/")
+        declaration = build_declaration(service, links=[link])
+        async with FakeTarget("close_in_large_body") as target:
+            async with Fixture(declaration, {"t1": target.address}) as fixture:
+                fixture.plan.region = "sureste"
+                data = build_get("/archiv/", AUTH + "Connection: close\r\n")
+                address = fixture.entry.address
+                try:
+                    await send_raw(address, data)
+                except ConnectionError:
+                    pass
+                paced = fixture.entry.dump()["paced_bytes"]["sureste"]
+                assert LARGE // 2 - FREE_BYTES <= paced <= LARGE // 2
+                target.step = "none"
+                assert KEY.encode() not in await send_raw(address, data)
+                assert fixture.entry.dump()["paced_bytes"]["sureste"] == paced
+
+    asyncio.run(main())
+
+
+def test_retries_stay_within_a_tenth_of_the_requests():
+    # Guards against retries that multiply the load while targets fail.
+    budget = RetryBudget()
+    granted = 0
+    for _ in range(1000):
+        budget.add_request()
+        granted += budget.take()
+    assert 95 <= granted <= 101
+    quiet = RetryBudget()
+    for _ in range(100_000):
+        quiet.add_request()
+    assert sum(quiet.take() for _ in range(100)) == 10
--- /dev/null
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -0,0 +1,243 @@
+"""Tests of what a target and a caller see of each other."""
+
+import asyncio
+
+import aiohttp
+
+from toucanwood.entry._client import MIN_IDLE_S
+from toucanwood.entry.testing import KEY, OPERATOR_TOKEN
+from toucanwood.entry.tests.raw import (
+    AUTH,
+    build_get,
+    connect,
+    read_response,
+    run_with_target,
+    send_raw,
+)
+
+
+def parse_head(head):
+    lines = head.strip().split("\r\n")
+    return {
+        name.lower(): value for name, value in (x.split(": ", 1) for x in lines[1:])
+    }
+
+
+def test_target_sees_neither_the_key_nor_hop_by_hop_headers():
+    # Guards against a target that learns a caller's key, and against connection
+    # headers of one hop that take effect on the next.
+    async def check(fixture, target):
+        secrets = [
+            f"X-Api-Key: {KEY}\r\n",
+            f"Authorization: Bearer {KEY}\r\n",
+            f"authorization: bearer {KEY}\r\nX-API-KEY: {KEY}\r\n",
+        ]
+        hop = "Connection: close, X-Hop, Cookie\r\nX-Hop: 1\r\nCookie: a\r\nTE: x\r\n"
+        own = "Toucanwood-Verdict: not-run\r\nProxy-Authorization: x\r\nX-End: 1\r\n"
+        for path in ("/buscador/", "/kasse/", "/abierto/"):
+            for secret in secrets:
+                data = build_get(path, secret + hop + own)
+                await send_raw(fixture.entry.address, data)
+                assert KEY not in target.heads[-1]
+                headers = parse_head(target.heads[-1])
+                allowed = {"host", "x-end", "connection"}
+                allowed |= {"toucanwood-request-id", "toucanwood-deadline-ms"}
+                assert set(headers) <= allowed
+                assert headers["x-end"] == "1"
+        assert len(target.heads) == 9
+
+    run_with_target(check)
+
+
+def test_target_gets_the_request_id_and_the_remaining_time():
+    # Guards against targets that work on requests that nobody waits for.
+    async def check(fixture, target):
+        ids = "Toucanwood-Request-Id: r-1\r\nToucanwood-Deadline-Ms: 500\r\n"
+        for extra, limit in ((ids, 500), (AUTH, 2000)):
+            data = build_get("/buscador/", AUTH + extra + "Connection: close\r\n")
+            await send_raw(fixture.entry.address, data)
+            headers = parse_head(target.heads[-1])
+            assert 0 < int(headers["toucanwood-deadline-ms"]) <= limit
+        assert "r-1" in target.heads[0]
+        assert len(headers["toucanwood-request-id"]) > 8
+
+    run_with_target(check)
+
+
+def test_caller_that_leaves_cancels_its_request():
+    # Guards against slots that stay in use for callers that have gone, and against
+    # the response of an abandoned request that reaches the next one.
+    async def check(fixture, target):
+        target.step = "never_answer"
+        for path in ("/buscador/", "/kasse/"):
+            async with connect(fixture.entry.address) as (_, writer):
+                writer.write(build_get(path))
+                while not fixture.dispatcher.held:
+                    await asyncio.sleep(0.005)
+                await asyncio.sleep(0.03)
+            while fixture.dispatcher.held:
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+        assert target.cancelled == 2
+        assert fixture.dispatcher.outcomes[-1][1].kind.value == "cancelled"
+        target.step = "none"
+        data = build_get("/buscador/", AUTH + "Connection: close\r\n")
+        assert b"200 OK" in await send_raw(fixture.entry.address, data)
+        assert [len(item) for item in target.requests_by_connection] == [1, 1, 1]
+
+    run_with_target(check)
+
+
+def test_withdrawn_key_stops_queued_and_further_requests():
+    # Guards against a key that works on after its withdrawal, in the queue or on an
+    # open connection.
+    async def check(fixture, target):
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/"))
+            assert (await read_response(reader))[0] == 200
+            fixture.dispatcher.gate = asyncio.Event()
+            writer.write(build_get("/buscador/"))
+            await asyncio.sleep(0.03)
+            fixture.view.withdrawn.add(KEY)
+            fixture.dispatcher.gate.set()
+            for _ in range(2):
+                status, headers, _ = await read_response(reader)
+                assert status == 401
+                assert headers["toucanwood-verdict"] == "not-run"
+                writer.write(build_get("/buscador/"))
+        assert sum(target.executions.values()) == 1
+        assert fixture.limiter.spent == {"a": 1}
+
+    run_with_target(check)
+
+
+def test_refusals_give_the_token_back():
+    # Guards against organisations that lose rate to requests that did not run.
+    async def check(fixture, target):
+        fixture.dispatcher.targets = {}
+        data = build_get("/buscador/", AUTH + "Connection: close\r\n")
+        response = await send_raw(fixture.entry.address, data)
+        assert b"503" in response and b"Retry-After: 1" in response
+        assert fixture.limiter.spent == {"a": 0}
+        fixture.limiter.refused.add("a")
+        assert b"429" in await send_raw(fixture.entry.address, data)
+
+    run_with_target(check)
+
+
+def test_missing_and_ambiguous_keys_are_refused():
+    # Guards against requests that run for an organisation that did not send them.
+    async def check(fixture, target):
+        two = f"X-Api-Key: {KEY}\r\nAuthorization: Bearer key-of-b\r\n"
+        for headers, status in (("", 401), ("X-Api-Key: no\r\n", 401), (two, 400)):
+            data = build_get("/buscador/", headers + "Connection: close\r\n")
+            response = await send_raw(fixture.entry.address, data)
+            assert int(response[9:12]) == status
+        assert target.heads == []
+
+    run_with_target(check)
+
+
+def test_non_idempotent_requests_use_new_connections():
+    # Guards against orders that are lost on a pooled connection that went silent.
+    async def check(fixture, target):
+        for path in ("/buscador/", "/buscador/", "/kasse/", "/buscador/"):
+            post = f"POST {path} HTTP/1.1\r\nHost: h\r\n{AUTH}Content-Length: 1\r\n"
+            data = f"{post}Connection: close\r\n\r\nx".encode()
+            assert b"200 OK" in await send_raw(fixture.entry.address, data)
+            await asyncio.sleep(2 * MIN_IDLE_S)
+        assert [len(item) for item in target.requests_by_connection] == [3, 1]
+
+    run_with_target(check)
+
+
+def test_second_answer_does_not_reach_the_next_request():
+    # Guards against a response that is taken for the response to another request.
+    async def check(fixture, target):
+        for step in ("answer_twice", "answer_twice_late"):
+            target.step = step
+            for operation in ("x1", "x2", "x3"):
+                headers = f"{AUTH}X-Operation: {operation}\r\nConnection: close\r\n"
+                data = build_get("/buscador/", headers)
+                response = await send_raw(fixture.entry.address, data)
+                assert response.endswith(f"{operation}:0".encode())
+
+    run_with_target(check)
+
+
+def test_silent_pooled_connection_is_given_up_in_time():
+    # Guards against idempotent requests that wait for their whole deadline on an
+    # established connection that went silent while new ones work.
+    async def check(fixture, target):
+        data = build_get("/buscador/", AUTH + "Connection: close\r\n")
+        assert b"200 OK" in await send_raw(fixture.entry.address, data)
+        fixture.dispatcher.targets["t2"] = target.address
+        await asyncio.sleep(2 * MIN_IDLE_S)
+        target.step = "never_answer"
+        sender = asyncio.create_task(send_raw(fixture.entry.address, data))
+        while len(target.heads) < 2:
+            await asyncio.sleep(0.005)
+        target.step = "none"
+        assert b"200 OK" in await sender
+        assert [len(item) for item in target.requests_by_connection] == [2, 1]
+
+    run_with_target(check, deadline=0.4)
+
+
+def test_truncation_is_visible_to_a_caller_without_framing():
+    # Guards against an HTTP/1.0 caller that takes half a response for a whole one.
+    async def check(fixture, target):
+        target.step = "close_in_chunked_body"
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/", version="1.0"))
+            try:
+                await reader.read()
+            except ConnectionError:
+                return
+            raise AssertionError("the truncated response ended like a complete one")
+
+    run_with_target(check)
+
+
+def test_explain_gives_the_figures_of_a_decision():
+    # Guards against decisions that operators cannot reconstruct.
+    async def check(fixture, target):
+        second = {"t2": "127.0.0.1:1"}
+        fixture.dispatcher.targets = {**second, "t1": target.address}
+        data = build_get(
+            "/buscador/x?q=1",
+            AUTH + "Toucanwood-Request-Id: r-9\r\nConnection: close\r\n",
+        )
+        assert b"200 OK" in await send_raw(fixture.entry.address, data)
+        url = f"http://{fixture.entry.address}/.toucanwood/explain/r-9"
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url, headers=headers) as response:
+                decision = await response.json()
+        assert decision["service"] == "buscador"
+        assert decision["organisation"] == "a"
+        outcomes = [attempt["outcome"] for attempt in decision["attempts"]]
+        assert outcomes == ["unreachable", "completed"]
+        assert decision["status"] == 200
+        assert KEY not in str(decision)
+
+    run_with_target(check)
+
+
+def test_uploads_stream_to_the_target():
+    # Guards against large bodies that are held in memory or framed wrongly.
+    async def check(fixture, target):
+        for chunked in (False, True):
+
+            async def parts():
+                for _ in range(40):
+                    yield b"x" * 50_000
+
+            data = parts() if chunked else b"x" * 2_000_000
+            url = f"http://{fixture.entry.address}/kasse/"
+            headers = {"X-Api-Key": KEY, "X-Operation": "up"}
+            async with aiohttp.ClientSession() as session:
+                async with session.post(url, data=data, headers=headers) as response:
+                    assert await response.text() == "up:2000000"
+
+    run_with_target(check)
