Add the replicated catalog

Cause: declarations, keys, requests, operations and region weights need one owner that survives restarts and decides races.

Change: Catalog is a deterministic state machine over versioned msgpack commands. Published is the part that every instance holds; replicas and views run the same apply_change.

--- /dev/null
+++ b/toucanwood/state/_catalog.py
@@ -0,0 +1,225 @@
+"""The replicated catalog, a deterministic state machine."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from toucanwood.state import _published as published_kinds
+from toucanwood.state._answers import Answer, accept, reject
+from toucanwood.state._commands import (
+    ApplyDeclaration,
+    BeginOperation,
+    Command,
+    CommandError,
+    FinishOperation,
+    IssueKey,
+    ReleaseOperation,
+    RequestCommand,
+    SetWeights,
+    WithdrawKey,
+    decode_command,
+)
+from toucanwood.state._operations import MAX_OPERATIONS, OperationTable
+from toucanwood.state._published import Change, KeyRecord, Published, diff_mapping
+from toucanwood.state._requests import MAX_REQUESTS, RequestTable
+
+SNAPSHOT_VERSION = 1
+MAX_KEPT_CHANGES = 1024
+# A subscriber that lacks more than this loads the whole state.
+MAX_KEPT_BYTES = 1024 * 1024
+
+
+class Catalog:
+    """Apply commands in log order; equal logs give equal states and answers.
+
+    The catalog does not validate declarations: replicas of different versions could
+    disagree. `Control` validates before the log.
+    """
+
+    def __init__(
+        self, *, max_operations: int = MAX_OPERATIONS, max_requests: int = MAX_REQUESTS
+    ) -> None:
+        self.published = Published()
+        self.time = 0.0
+        self._requests = RequestTable(limit=max_requests)
+        self._operations = OperationTable(limit=max_operations)
+        self._changes: deque[bytes] = deque()
+        self._changes_bytes = 0
+        self._owner_by_sha256: dict[bytes, str] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._handlers: dict[type[Command], Callable[[Any], Answer]] = {
+            ApplyDeclaration: self.apply_declaration,
+            IssueKey: self.issue_key,
+            WithdrawKey: self.withdraw_key,
+            BeginOperation: self.begin_operation,
+            FinishOperation: self.finish_operation,
+            ReleaseOperation: self.release_operation,
+            SetWeights: self.set_weights,
+        }
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the declaration; 0 means none yet."""
+        return self.published.revision
+
+    @property
+    def version(self) -> int:
+        """Return the number of published changes so far."""
+        return self.published.version
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each published change and after a restore."""
+        self._listeners.append(listener)
+
+    def apply(self, index: int, command: bytes) -> Answer:
+        """Apply a command of the log; one that is not understood changes nothing."""
+        try:
+            parsed = decode_command(command)
+        except CommandError as error:
+            return reject(error.code, str(error), status=400)
+        self._advance(parsed.time)
+        version = self.version
+        answer = self._run(parsed)
+        if self.version != version:
+            self._notify()
+        return answer
+
+    def apply_declaration(self, command: ApplyDeclaration) -> Answer:
+        """Replace the declaration if its revision is still the base revision."""
+        if command.base_revision != self.revision:
+            message = (
+                f"base revision {command.base_revision} is not current; "
+                f"revision {self.revision} won"
+            )
+            return reject("revision_conflict", message, revision=self.revision)
+        patch = diff_mapping(self.published.declaration, command.declaration)
+        revision = self.revision + 1
+        self._publish([published_kinds.DECLARATION, revision, patch])
+        return accept(revision=revision)
+
+    def issue_key(self, command: IssueKey) -> Answer:
+        """Add a key; neither its id nor its SHA-256 may be in use or withdrawn."""
+        key_id = command.key_id
+        if key_id in self.published.withdrawn:
+            return reject("key_withdrawn", f"key {key_id!r} is withdrawn")
+        record = KeyRecord(command.sha256, command.organisation)
+        known = self.published.keys.get(key_id)
+        if known == record:
+            return accept(key_id=key_id)
+        if known is not None:
+            return reject("key_exists", f"key id {key_id!r} is in use")
+        if command.sha256 in self._owner_by_sha256:
+            # Two ids of one secret would survive the withdrawal of either.
+            return reject("key_exists", "the secret is in use under another key id")
+        self._owner_by_sha256[command.sha256] = key_id
+        change = [published_kinds.KEY, key_id, command.sha256, command.organisation]
+        self._publish(change)
+        return accept(key_id=key_id)
+
+    def withdraw_key(self, command: WithdrawKey) -> Answer:
+        """Withdraw a key for good."""
+        if command.key_id not in self.published.withdrawn:
+            self._publish([published_kinds.WITHDRAWAL, command.key_id])
+        return accept(key_id=command.key_id)
+
+    def set_weights(self, command: SetWeights) -> Answer:
+        """Set the region weights of one service and home region."""
+        pair = (command.service, command.home_region)
+        if self.published.weights.get(pair) != command.weights:
+            self._publish([published_kinds.WEIGHTS, *pair, command.weights])
+        return accept()
+
+    def begin_operation(self, command: BeginOperation) -> Answer:
+        """Record an operation before its dispatch."""
+        return self._operations.begin(command, self.time)
+
+    def finish_operation(self, command: FinishOperation) -> Answer:
+        """Record the response of an operation."""
+        return self._operations.finish(command, self.time)
+
+    def release_operation(self, command: ReleaseOperation) -> Answer:
+        """Take back an attempt that is proven not to have run."""
+        return self._operations.release(command, self.time)
+
+    def changes_since(self, version: int) -> list[bytes] | None:
+        """Return the encoded changes after `version`; None if they are not all kept."""
+        missing = self.version - version
+        if missing < 0:
+            return []
+        if missing > len(self._changes):
+            return None
+        return list(self._changes)[len(self._changes) - missing :]
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        content = [
+            SNAPSHOT_VERSION,
+            self.time,
+            self.published.to_wire(),
+            self._requests.to_wire(),
+            self._operations.to_wire(),
+        ]
+        return msgpack.packb(content)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state; raise ValueError for another snapshot version."""
+        content = msgpack.unpackb(snapshot, strict_map_key=False)
+        version, time, published, requests, operations = content[:5]
+        if version != SNAPSHOT_VERSION:
+            allowed = f"snapshot version must be {SNAPSHOT_VERSION}"
+            raise ValueError(f"{allowed}, got {version!r}")
+        self.time = time
+        self.published = Published.from_wire(published)
+        self._requests.load(requests)
+        self._operations.load(operations)
+        self._owner_by_sha256 = {
+            key.sha256: key_id for key_id, key in self.published.keys.items()
+        }
+        self._changes.clear()
+        self._changes_bytes = 0
+        self._notify()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the sizes and revisions."""
+        return {
+            "revision": self.revision,
+            "version": self.version,
+            "time": self.time,
+            "keys": len(self.published.keys),
+            "withdrawn": len(self.published.withdrawn),
+            "requests": len(self._requests),
+            "operations": len(self._operations),
+        }
+
+    def _advance(self, time: float) -> None:
+        """Move the catalog's clock, which never goes back, and expire records."""
+        self.time = max(self.time, time)
+        self._requests.expire(self.time)
+        self._operations.expire(self.time)
+
+    def _run(self, command: Command) -> Answer:
+        handle = self._handlers[type(command)]
+        if not isinstance(command, RequestCommand) or not command.request_id:
+            return handle(command)
+        answer = self._requests.find(command)
+        if answer is None:
+            answer = handle(command)
+            self._requests.record(command, answer, self.time)
+        return answer
+
+    def _publish(self, change: Change) -> None:
+        self.published.apply_change(change)
+        encoded = msgpack.packb(change)
+        self._changes.append(encoded)
+        self._changes_bytes += len(encoded)
+        while self._changes and (
+            len(self._changes) > MAX_KEPT_CHANGES
+            or self._changes_bytes > MAX_KEPT_BYTES
+        ):
+            self._changes_bytes -= len(self._changes.popleft())
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
