--- /dev/null
+++ b/toucanwood/feed/_subscriber.py
@@ -0,0 +1,177 @@
+"""The subscribing side of the feed, on every instance."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgpack
+import structlog
+
+from toucanwood.feed._gossip import WithdrawalGossip
+from toucanwood.feed._messages import (
+    FetchState,
+    PollState,
+    PushChanges,
+    StatePart,
+    StateUpdate,
+)
+from toucanwood.feed._publisher import Publisher
+from toucanwood.feed._ranking import rank_replicas
+from toucanwood.feed._view import View
+from toucanwood.peering import PeerUnavailable, Transport
+from toucanwood.state import Published
+from toucanwood.utils import TaskGroup
+
+POLL_INTERVAL_S = 0.5
+# A new instance serves nothing before its first proof, so it asks more often.
+FIRST_POLL_INTERVAL_S = 0.1
+POLL_TIMEOUT_S = 0.5
+PART_TIMEOUT_S = 1.5
+# Without a good answer for so long, the subscriber turns to the next replica.
+PATIENCE_S = 1.5
+# A replica that has not yet given a good answer gets less time: three bad replicas
+# in a row then cost 2.5 s of the 4 s for which keys stay valid.
+NEW_REPLICA_PATIENCE_S = 0.5
+# An answer is good if its proof leaves time for further polls.
+MAX_GOOD_LEASE_AGE_S = 1.5
+# After so long on a substitute, the preferred replica is tried again.
+RETURN_INTERVAL_S = 30.0
+
+# Errors of an update that this version cannot apply.
+MALFORMED = (ValueError, TypeError, LookupError)
+
+log = structlog.get_logger()
+
+
+class Subscriber:
+    """Keep a view current by polling one replica."""
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        view: View,
+        gossip: WithdrawalGossip,
+        replicas: Callable[[], Iterable[str]],
+        publisher: Publisher | None = None,
+    ) -> None:
+        self._transport = transport
+        self._view = view
+        self._gossip = gossip
+        self._replicas = replicas
+        self._publisher = publisher
+        self._tasks = TaskGroup()
+        self._replica: str | None = None
+        self._patience = NEW_REPLICA_PATIENCE_S
+        self._chosen = 0.0
+        self._last_good = 0.0
+        self.polls = 0
+        self.switches = 0
+        transport.register(PushChanges, self._receive_push)
+
+    async def start(self) -> None:
+        """Start polling."""
+        self._tasks.start(self._poll_all(), name="feed-subscriber")
+
+    async def stop(self) -> None:
+        """Stop polling; the view goes stale."""
+        await self._tasks.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the polled replica and the counts of polls and switches."""
+        return {
+            "replica": self._replica,
+            "polls": self.polls,
+            "switches": self.switches,
+        }
+
+    async def _poll_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            started = loop.time()
+            self._choose_replica(started)
+            if self._replica is not None:
+                await self._poll(self._replica)
+            await asyncio.sleep(max(0.0, started + self._interval() - loop.time()))
+
+    def _interval(self) -> float:
+        return POLL_INTERVAL_S if self._view.is_ready else FIRST_POLL_INTERVAL_S
+
+    def _choose_replica(self, now: float) -> None:
+        ranked = rank_replicas(self._transport.instance_id, self._replicas())
+        if not ranked:
+            self._replica = None
+        elif self._replica not in ranked:
+            self._switch(ranked[0], now)
+        elif now - self._last_good >= self._patience:
+            following = ranked.index(self._replica) + 1
+            self._switch(ranked[following % len(ranked)], now)
+        elif self._replica != ranked[0] and now - self._chosen >= RETURN_INTERVAL_S:
+            self._switch(ranked[0], now)
+
+    def _switch(self, replica_id: str, now: float) -> None:
+        if self._replica is not None:
+            self.switches += 1
+        log.info("feed_replica_chosen", replica=replica_id, before=self._replica)
+        self._replica = replica_id
+        self._patience = NEW_REPLICA_PATIENCE_S
+        self._chosen = now
+        self._last_good = now
+
+    async def _poll(self, replica_id: str) -> None:
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        self.polls += 1
+        version = self._view.version
+        try:
+            update = await self._call(replica_id, PollState(version), POLL_TIMEOUT_S)
+            if not isinstance(update, StateUpdate):
+                return
+            await self._take_update(replica_id, version, update)
+        except PeerUnavailable as error:
+            log.debug("feed_poll_failed", replica=replica_id, reason=str(error))
+            return
+        except MALFORMED as error:
+            log.error("feed_update_malformed", replica=replica_id, reason=repr(error))
+            return
+        # The answer was made after `sent`, so this bounds the age from above.
+        self._view.confirm(update.version, sent - update.lease_age)
+        if update.lease_age <= MAX_GOOD_LEASE_AGE_S:
+            self._last_good = sent
+            self._patience = PATIENCE_S
+
+    async def _take_update(
+        self, replica_id: str, polled_version: int, update: StateUpdate
+    ) -> None:
+        if update.changes is not None:
+            self._take_changes(polled_version, update.changes)
+        elif update.version > self._view.version:
+            await self._load_state(replica_id)
+
+    def _take_changes(self, base_version: int, changes: list[bytes]) -> None:
+        self._gossip.spread(self._view.apply_changes(base_version, changes))
+
+    async def _load_state(self, replica_id: str) -> None:
+        """Fetch the whole state in parts; give up when the replica drops it."""
+        encoded = bytearray()
+        part = StatePart()
+        while part.size == 0 or len(encoded) < part.size:
+            fetch = FetchState(part.version, len(encoded))
+            part = await self._call(replica_id, fetch, PART_TIMEOUT_S)
+            if not isinstance(part, StatePart) or not part.data:
+                return
+            if part.offset != len(encoded):
+                return
+            encoded += part.data
+        content = msgpack.unpackb(bytes(encoded), strict_map_key=False)
+        self._view.load(Published.from_wire(content))
+
+    async def _receive_push(self, sender: str, push: PushChanges) -> None:
+        self._take_changes(push.base_version, push.changes)
+
+    async def _call(self, replica_id: str, body: Any, timeout: float) -> Any:
+        if self._publisher is None or replica_id != self._transport.instance_id:
+            return await self._transport.call(replica_id, body, timeout=timeout)
+        if isinstance(body, PollState):
+            return await self._publisher.answer_poll(replica_id, body)
+        return await self._publisher.answer_fetch(replica_id, body)
--- /dev/null
+++ b/toucanwood/feed/_view.py
@@ -0,0 +1,189 @@
+"""The local read model of the published catalog."""
+
+import hashlib
+import hmac
+import math
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgpack
+import structlog
+from returns.result import Failure, Result, Success
+
+from toucanwood.declaration import Declaration
+from toucanwood.state import KeyRecord, Published
+from toucanwood.utils import ValidationError
+from toucanwood.verdicts import Verdict, refuse
+
+# A withdrawal must hold everywhere after 5 s. The rest is for queued requests.
+MAX_KEY_AGE_S = 4.0
+STALE_RETRY_S = 1.0
+INDEX_BYTES = 8
+
+log = structlog.get_logger()
+
+
+class View:
+    """Hold the newest known state and the moment at which it was proven current.
+
+    `created` and every `now` are this instance's monotonic clock in seconds. Nothing
+    is served before a proof that is later than `created`: an earlier run of this
+    instance may have served anything that was committed until then.
+    """
+
+    def __init__(self, *, created: float) -> None:
+        self.declaration = Declaration()
+        self._created = created
+        self._proven = -math.inf
+        self._state = Published()
+        self._early_withdrawals: set[str] = set()
+        self._key_ids_by_prefix: dict[bytes, list[str]] = {}
+        self._declared_revision = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the declaration; 0 means none yet."""
+        return self._state.revision
+
+    @property
+    def version(self) -> int:
+        """Return the number of published changes that this state includes."""
+        return self._state.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the state was proven current since this view was created."""
+        return self._proven >= self._created
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of the state."""
+        self._listeners.append(listener)
+
+    def freshness(self, now: float) -> float:
+        """Return the seconds since the state was proven current; inf before ready."""
+        return now - self._proven if self.is_ready else math.inf
+
+    def weights(self, service: str, home_region: str) -> dict[str, float]:
+        """Return the weights of the serving regions; empty if none are set."""
+        return dict(self._state.weights.get((service, home_region), {}))
+
+    def authenticate(self, key: str, now: float) -> Result[str, Verdict]:
+        """Return the organisation of a key.
+
+        Refuses with 503 `state_stale` when a withdrawal may be unknown here, and with
+        401 `key_unknown` for unknown and withdrawn keys.
+        """
+        if self.freshness(now) >= MAX_KEY_AGE_S:
+            return Failure(
+                refuse(
+                    "state_stale",
+                    "the state of keys is not known to be current",
+                    status=503,
+                    retry_after=STALE_RETRY_S,
+                )
+            )
+        organisation = self._find_organisation(key)
+        if organisation is None:
+            return Failure(refuse("key_unknown", "the key is not valid", status=401))
+        return Success(organisation)
+
+    def is_withdrawn(self, key_id: str) -> bool:
+        """Return whether a key is known to be withdrawn."""
+        return key_id in self._state.withdrawn or key_id in self._early_withdrawals
+
+    def withdraw(self, key_ids: Iterable[str]) -> list[str]:
+        """Withdraw keys ahead of the log; return the ones that were not known."""
+        new = [key_id for key_id in key_ids if not self.is_withdrawn(key_id)]
+        self._early_withdrawals.update(new)
+        return new
+
+    def apply_changes(self, base_version: int, changes: list[bytes]) -> list[str]:
+        """Apply the changes that are new; return the keys that they withdraw.
+
+        Changes that start after this version are ignored, as some are missing.
+        """
+        known = self.version - base_version
+        if known < 0 or known >= len(changes):
+            return []
+        withdrawn = []
+        for encoded in changes[known:]:
+            change = msgpack.unpackb(encoded, strict_map_key=False)
+            self._state.apply_change(change)
+            withdrawn += self._note_change(change)
+        self._notify()
+        return withdrawn
+
+    def load(self, state: Published) -> bool:
+        """Replace the state by a newer one; return False for one that is not newer."""
+        if state.version <= self.version:
+            return False
+        self._state = state
+        self._early_withdrawals -= state.withdrawn
+        self._key_ids_by_prefix = {}
+        for key_id, record in state.keys.items():
+            self._index_key(key_id, record)
+        self._notify()
+        return True
+
+    def confirm(self, version: int, proven: float) -> None:
+        """Note that `version` was current at the time `proven`; it never goes back.
+
+        A view that has not reached `version` has proven nothing.
+        """
+        if version <= self.version:
+            self._proven = max(self._proven, proven)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the revisions, the sizes and the time of the last proof."""
+        return {
+            "revision": self.revision,
+            "version": self.version,
+            "declared_revision": self._declared_revision,
+            "proven": self._proven if self.is_ready else None,
+            "keys": len(self._state.keys),
+            "withdrawn": len(self._state.withdrawn),
+            "early_withdrawals": len(self._early_withdrawals),
+        }
+
+    def _find_organisation(self, key: str) -> str | None:
+        digest = hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
+        found = None
+        for key_id in self._key_ids_by_prefix.get(digest[:INDEX_BYTES], ()):
+            record = self._state.keys[key_id]
+            is_equal = hmac.compare_digest(record.sha256, digest)
+            if is_equal and not self.is_withdrawn(key_id):
+                found = record.organisation
+        return found
+
+    def _note_change(self, change: list[Any]) -> list[str]:
+        kind, key_id = change[0], change[1]
+        if kind == "key":
+            self._index_key(key_id, self._state.keys[key_id])
+        if kind != "withdrawal":
+            return []
+        is_new = key_id not in self._early_withdrawals
+        self._early_withdrawals.discard(key_id)
+        return [key_id] if is_new else []
+
+    def _index_key(self, key_id: str, record: KeyRecord) -> None:
+        prefix = record.sha256[:INDEX_BYTES]
+        self._key_ids_by_prefix.setdefault(prefix, []).append(key_id)
+
+    def _notify(self) -> None:
+        self._build_declaration()
+        for listener in self._listeners:
+            listener()
+
+    def _build_declaration(self) -> None:
+        if self._declared_revision == self.revision:
+            return
+        try:
+            self.declaration = Declaration.from_config(self._state.declaration)
+        except ValidationError as error:
+            # A newer version accepted fields that this one does not know. The last
+            # declaration that it understands serves better than none.
+            reason = str(error)
+            log.error("declaration_unknown", revision=self.revision, reason=reason)
+            return
+        self._declared_revision = self.revision
