--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -12,6 +12,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Sequence
 from typing import Any
 
 import yaml
@@ -34,11 +35,18 @@
 class Fleet:
     """Own the processes of one deployment; `program` starts an instance."""
 
-    def __init__(self, deployment: Deployment, *, program: list[str]) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        program: list[str],
+        ports: Sequence[int] | None = None,
+    ) -> None:
         self.deployment = deployment
         self.program = program
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="toucanwood-"))
-        self.settings = {item["id"]: item for item in build_settings(deployment)}
+        settings = build_settings(deployment, ports)
+        self.settings = {item["id"]: item for item in settings}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.environment = {
             **os.environ,
--- a/examples/write_deployments.py
+++ b/examples/write_deployments.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import pathlib
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -16,6 +17,7 @@
 OPERATOR_TOKEN = "example-operator-token"
 TARGET_TOKEN = "example-target-token"
 LINK_MBIT = 4000
+PEER_PORT_OFFSET = 1000
 ENTRIES_BY_REGION = (("1-a", "1-b", "2-a"), ("1-a", "1-b", "2-a"), ("1-a", "2-a"))
 ORGANISATION_SIZES = (("large", 2, 120, 240), ("small", 6, 20, 60))
 
@@ -74,11 +76,23 @@
     ]
 
 
-def build_settings(deployment: Deployment) -> list[dict[str, Any]]:
-    """Return the settings of each entry; the first of each region has a disk."""
+def build_settings(
+    deployment: Deployment, ports: Sequence[int] | None = None
+) -> list[dict[str, Any]]:
+    """Return the settings of each entry; the first of each region has a disk.
+
+    `ports` gives two ports for each entry, first all HTTP ports, then all peer ports.
+    """
     entries = list_entries(deployment)
+    count = len(entries)
+    if ports is None:
+        first = deployment.first_port
+        ports = [
+            *range(first, first + count),
+            *range(first + 1000, first + 1000 + count),
+        ]
     peer_by_id = {
-        entry_id: f"127.0.0.1:{deployment.first_port + 1000 + index}"
+        entry_id: f"127.0.0.1:{ports[count + index]}"
         for index, (entry_id, _, _) in enumerate(entries)
     }
     control = [
@@ -90,7 +104,7 @@
             "id": entry_id,
             "data_centre": data_centre,
             "region": region,
-            "http": f"127.0.0.1:{deployment.first_port + index}",
+            "http": f"127.0.0.1:{ports[index]}",
             "peer": peer_by_id[entry_id],
             "peers": control,
             "control": control,
--- a/toucanwood/cli/_client.py
+++ b/toucanwood/cli/_client.py
@@ -50,16 +50,22 @@
         path: str,
         *,
         body: Any = None,
+        text: str | None = None,
         headers: dict[str, str] | None = None,
     ) -> Any:
         """Send a request and return the JSON response.
 
         Raises CommandError when the instance refuses or can't be reached.
         """
-        return asyncio.run(self._send(method, path, body, headers or {}))
+        return asyncio.run(self._send(method, path, body, text, headers or {}))
 
     async def _send(
-        self, method: str, path: str, body: Any, headers: dict[str, str]
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        text: str | None,
+        headers: dict[str, str],
     ) -> Any:
         url = f"http://{self.address}{BASE_PATH}{path}"
         if self.token:
@@ -68,7 +74,9 @@
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.request(method, url, json=body, headers=headers) as response,
+                session.request(
+                    method, url, json=body, data=text, headers=headers
+                ) as response,
             ):
                 return await _read_response(response)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -82,7 +82,7 @@
     token_file: TokenOption = None,
 ) -> None:
     """Apply a declaration as a whole."""
-    declaration = _read_declaration(file)
+    _read_declaration(file)
     client = Client(instance, read_token(token_file))
     if revision is None:
         revision = client.get("/declaration")["revision"]
@@ -90,7 +90,7 @@
     headers = {"If-Match": str(revision), "Toucanwood-Request-Id": request_id}
     try:
         result = client.send(
-            "PUT", "/declaration", body=declaration.to_config(), headers=headers
+            "PUT", "/declaration", text=file.read_text(), headers=headers
         )
     except CommandError as error:
         hint = f"resend with --revision {revision} --request-id {request_id}"
@@ -107,7 +107,7 @@
     """Show what applying a declaration would change."""
     after = _read_declaration(file)
     current = Client(instance, read_token(token_file)).get("/declaration")
-    before = Declaration.from_config(current["declaration"] or {"regions": []})
+    before = Declaration.from_config(load_yaml(current["text"])[0])
     for change in diff(before, after):
         typer.echo(str(change))
 
@@ -117,7 +117,9 @@
     instance: InstanceOption = DEFAULT_INSTANCE, token_file: TokenOption = None
 ) -> None:
     """Print the declaration in force and its revision."""
-    _print(Client(instance, read_token(token_file)).get("/declaration"))
+    current = Client(instance, read_token(token_file)).get("/declaration")
+    typer.echo(f"# revision {current['revision']}")
+    typer.echo(current["text"], nl=False)
 
 
 @keys_app.command()
--- a/toucanwood/entry/_api.py
+++ b/toucanwood/entry/_api.py
@@ -61,6 +61,8 @@
             ("GET", "declaration"): self._read_declaration,
             ("POST", "keys"): self._issue_key,
             ("DELETE", "keys/"): self._withdraw_key,
+            ("POST", "voters/"): self._add_voter,
+            ("DELETE", "voters/"): self._remove_voter,
             ("GET", "dump"): self._dump,
             ("GET", "explain/"): self._explain,
         }
@@ -151,6 +153,14 @@
         )
         return build_json(unwrap(withdrawn))
 
+    async def _add_voter(self, request: web.BaseRequest, item: str) -> web.Response:
+        self._check_operator(request)
+        return build_json(unwrap(await self._operators.add_voter(item)))
+
+    async def _remove_voter(self, request: web.BaseRequest, item: str) -> web.Response:
+        self._check_operator(request)
+        return build_json(unwrap(await self._operators.remove_voter(item)))
+
     async def _dump(self, request: web.BaseRequest, _: str) -> web.Response:
         self._check_operator(request)
         return build_json(await self._operators.dump())
--- a/toucanwood/entry/_collaborators.py
+++ b/toucanwood/entry/_collaborators.py
@@ -172,6 +172,14 @@
         self, key_id: str, *, request_id: str
     ) -> Result[Mapping[str, Any], Verdict]: ...
 
+    async def add_voter(
+        self, instance_id: str
+    ) -> Result[Mapping[str, Any], Verdict]: ...
+
+    async def remove_voter(
+        self, instance_id: str
+    ) -> Result[Mapping[str, Any], Verdict]: ...
+
     async def dump(self) -> Mapping[str, Any]: ...
 
 
--- a/toucanwood/entry/_entry.py
+++ b/toucanwood/entry/_entry.py
@@ -49,6 +49,7 @@
 
     `settings` has the attributes of `settings.Settings`. `count_entries` gives the
     number of entries in this region, which share the links to other regions.
+    `on_decision` gets the record of each proxied request when it has ended.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         rank_entries: RankEntries,
         operators: Operators,
         count_entries: Callable[[], int] = lambda: 1,
+        on_decision: Callable[[Decision], None] = lambda decision: None,
     ) -> None:
         self._settings = settings
         self._tasks = TaskGroup()
@@ -91,6 +93,7 @@
             relay=relay,
             operations=runner,
             decisions=self._decisions,
+            on_decision=on_decision,
         )
         self._api = Api(
             settings=settings,
--- a/toucanwood/entry/_proxy.py
+++ b/toucanwood/entry/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import secrets
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -46,6 +47,7 @@
         relay: Relay,
         operations: OperationRunner,
         decisions: DecisionLog,
+        on_decision: Callable[[Decision], None],
     ) -> None:
         self._region = region
         self._view = view
@@ -55,6 +57,7 @@
         self._relay = relay
         self._operations = operations
         self._decisions = decisions
+        self._on_decision = on_decision
         self._router = Router(view.declaration)
         self._id_prefix = secrets.token_hex(6)
         self._next_id = itertools.count(1)
@@ -80,6 +83,7 @@
             raise
         finally:
             decision.elapsed = loop.time() - decision.arrived
+            self._on_decision(decision)
 
     def _start_decision(
         self, request: web.BaseRequest, path: str, now: float
--- a/toucanwood/entry/testing.py
+++ b/toucanwood/entry/testing.py
@@ -253,6 +253,16 @@
         self.withdrawn.append(key_id)
         return Success({"id": key_id})
 
+    async def add_voter(self, instance_id: str) -> Result[Mapping[str, Any], Verdict]:
+        """Add a voter."""
+        return Success({"instance": instance_id, "role": "voter"})
+
+    async def remove_voter(
+        self, instance_id: str
+    ) -> Result[Mapping[str, Any], Verdict]:
+        """Remove a voter."""
+        return Success({"instance": instance_id, "role": "removed"})
+
     async def dump(self) -> Mapping[str, Any]:
         """Return an empty state."""
         return {"state": {}}
--- a/toucanwood/feed/_messages.py
+++ b/toucanwood/feed/_messages.py
@@ -21,12 +21,13 @@
     """Answer a poll: `changes` lead from the polled version to `version`.
 
     `lease_age` is in seconds. `changes` is None when the replica does not keep them
-    all and the whole state must be fetched.
+    all and the whole state must be fetched. `leader` is empty if it is not known.
     """
 
     version: int = 0
     lease_age: float = float("inf")
     changes: list[bytes] | None = None
+    leader: str = ""
 
 
 @message(42)
--- a/toucanwood/feed/_publisher.py
+++ b/toucanwood/feed/_publisher.py
@@ -27,6 +27,9 @@
     def lease_age(self) -> float:
         """Return the seconds since a majority confirmed what this replica applied."""
 
+    def leader(self) -> str | None:
+        """Return the leader as known here."""
+
 
 class Publisher:
     """Answer polls with the changes that follow, and push new ones.
@@ -56,6 +59,7 @@
             version=self._catalog.version,
             lease_age=self._replica.lease_age(),
             changes=self._catalog.changes_since(poll.version),
+            leader=self._replica.leader() or "",
         )
 
     async def answer_fetch(self, sender: str, fetch: FetchState) -> StatePart:
--- a/toucanwood/feed/_subscriber.py
+++ b/toucanwood/feed/_subscriber.py
@@ -65,6 +65,7 @@
         self._patience = NEW_REPLICA_PATIENCE_S
         self._chosen = 0.0
         self._last_good = 0.0
+        self.leader: str | None = None
         self.polls = 0
         self.switches = 0
         transport.register(PushChanges, self._receive_push)
@@ -81,6 +82,7 @@
         """Return the polled replica and the counts of polls and switches."""
         return {
             "replica": self._replica,
+            "leader": self.leader,
             "polls": self.polls,
             "switches": self.switches,
         }
@@ -134,6 +136,7 @@
         except MALFORMED as error:
             log.error("feed_update_malformed", replica=replica_id, reason=repr(error))
             return
+        self.leader = update.leader or None
         # The answer was made after `sent`, so this bounds the age from above.
         self._view.confirm(update.version, sent - update.lease_age)
         if update.lease_age <= MAX_GOOD_LEASE_AGE_S:
--- a/toucanwood/operations/_operations.py
+++ b/toucanwood/operations/_operations.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import secrets
-import time
-from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -23,6 +21,7 @@
     refuse_unavailable,
 )
 from toucanwood.peering import PeerUnavailable
+from toucanwood.state import Answer
 from toucanwood.utils import TaskGroup
 from toucanwood.verdicts import Verdict
 
@@ -37,6 +36,8 @@
 # everywhere; the release is then repeated.
 SETTLE_TIME_S = 5.0
 
+Decision = Answer | Verdict
+
 log = structlog.get_logger()
 
 
@@ -46,14 +47,8 @@
     Every begun operation must end with `finish`, `release` or `abandon`.
     """
 
-    def __init__(
-        self,
-        *,
-        submitter: Submitter,
-        wall_clock: Callable[[], float] = time.time,
-    ) -> None:
+    def __init__(self, *, submitter: Submitter) -> None:
         self._submitter = submitter
-        self._wall_clock = wall_clock
         self._attempts: dict[tuple[str, str], Attempt] = {}
         self._background = 0
         self._tasks = TaskGroup()
@@ -66,10 +61,9 @@
         self,
         organisation: str,
         key: str,
-        digest: str,
+        digest: bytes,
         *,
         deadline: float,
-        service: str = "",
     ) -> Result[Begun | Recorded, Verdict]:
         """Commit a record, or return the response of the earlier run.
 
@@ -79,7 +73,7 @@
             earlier = self._attempts.get((organisation, key))
             if earlier is None:
                 attempt = self._open(organisation, key, digest)
-                return await self._begin(attempt, service, deadline)
+                return await self._begin(attempt, deadline)
             if earlier.digest != digest:
                 return Failure(refuse_conflict(key))
             outcome = await self._await_outcome(earlier, deadline)
@@ -113,12 +107,12 @@
         counts = {phase.value: phases.count(phase.value) for phase in Phase}
         return {**counts, "background": self._background}
 
-    def _open(self, organisation: str, key: str, digest: str) -> Attempt:
+    def _open(self, organisation: str, key: str, digest: bytes) -> Attempt:
         attempt = Attempt(
             organisation=organisation,
             key=key,
             digest=digest,
-            attempt=secrets.token_hex(16),
+            attempt_id=secrets.token_hex(16),
             ended=asyncio.get_running_loop().create_future(),
         )
         self._attempts[organisation, key] = attempt
@@ -126,7 +120,7 @@
 
     def _find(self, operation: Begun) -> Attempt:
         attempt = self._attempts.get((operation.organisation, operation.key))
-        is_same = attempt is not None and attempt.attempt == operation.attempt
+        is_same = attempt is not None and attempt.attempt_id == operation.attempt_id
         if attempt is None or not is_same or attempt.phase is not Phase.RUNNING:
             raise ValueError(f"operation must be running, got {operation!r}")
         return attempt
@@ -136,14 +130,12 @@
         attempt.end(outcome)
 
     async def _begin(
-        self, attempt: Attempt, service: str, deadline: float
+        self, attempt: Attempt, deadline: float
     ) -> Result[Begun | Recorded, Verdict]:
         command = {
             "kind": "begin_operation",
             **attempt.describe(),
             "digest": attempt.digest,
-            "service": service,
-            "at": self._wall_clock(),
         }
         try:
             decision = await self._submit_until(command, deadline)
@@ -222,7 +214,9 @@
         finally:
             self._background -= 1
 
-    async def _submit_until(self, command: dict[str, Any], deadline: float) -> Any:
+    async def _submit_until(
+        self, command: dict[str, Any], deadline: float
+    ) -> Decision | None:
         """Submit until there is a decision; return None at the deadline."""
         loop = asyncio.get_running_loop()
         delay = MIN_RETRY_DELAY_S
@@ -235,25 +229,23 @@
             delay = min(delay * 2, MAX_RETRY_DELAY_S)
         return None
 
-    async def _submit(self, command: dict[str, Any], timeout: float) -> Any:
+    async def _submit(self, command: dict[str, Any], timeout: float) -> Decision | None:
         """Submit once; return None if the decision is not known."""
         try:
             async with asyncio.timeout(timeout):
                 result = await self._submitter.submit(command, timeout=timeout)
         except (TimeoutError, PeerUnavailable, OSError):
             return None
-        decision = find_decision(result)
-        return "done" if decision is None and isinstance(result, Success) else decision
+        return find_decision(result)
 
     def _describe_finish(self, attempt: Attempt, answer: Recorded) -> dict[str, Any]:
-        is_kept = len(answer.body) <= MAX_BODY_BYTES
+        is_kept = len(answer.body or b"") <= MAX_BODY_BYTES
         return {
             "kind": "finish_operation",
             **attempt.describe(),
             "status": answer.status,
             "headers": answer.headers,
             "body": answer.body if is_kept else None,
-            "at": self._wall_clock(),
         }
 
 
--- a/toucanwood/operations/_records.py
+++ b/toucanwood/operations/_records.py
@@ -1,29 +1,30 @@
 """Records of operations and the commands that change them."""
 
 import asyncio
-from collections.abc import Mapping
 from enum import Enum
 from typing import Any, Protocol
 
 import attrs
 from returns.result import Failure, Result, Success
 
+from toucanwood.state import Answer
 from toucanwood.verdicts import Verdict, doubt, refuse
 
 # Longer bodies are not kept; the record then has only the status.
 MAX_BODY_BYTES = 64 * 1024
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 class Submitter(Protocol):
     """Submit commands to the catalog.
 
-    A `Success` carries the catalog's decision. A `Failure` with a status under 500 is a
+    A `Success` carries the catalog's answer. A `Failure` with a status under 500 is a
     decision as well; any other says whether the command may have been committed.
     """
 
     async def submit(
         self, command: dict[str, Any], *, timeout: float
-    ) -> Result[Any, Verdict]:
+    ) -> Result[Answer, Verdict]:
         """Submit one command and wait up to `timeout` seconds."""
 
 
@@ -33,16 +34,16 @@
 
     organisation: str
     key: str
-    attempt: str
+    attempt_id: str
 
 
 @attrs.frozen(kw_only=True)
 class Recorded:
-    """The complete response to an operation that has run."""
+    """The response to an operation that has run; `body` is None if it was too long."""
 
     status: int
     headers: list[list[str]] = attrs.field(factory=list)
-    body: bytes = b""
+    body: bytes | None = b""
 
 
 class Phase(Enum):
@@ -60,8 +61,8 @@
 
     organisation: str
     key: str
-    digest: str
-    attempt: str
+    digest: bytes
+    attempt_id: str
     ended: asyncio.Future[Recorded | Verdict | None]
     phase: Phase = Phase.BEGINNING
 
@@ -75,67 +76,40 @@
         return {
             "organisation": self.organisation,
             "key": self.key,
-            "attempt": self.attempt,
+            "attempt_id": self.attempt_id,
         }
 
 
-def find_decision(result: Result[Any, Verdict]) -> Any:
-    """Return the catalog's decision, or None if the answer is not known."""
+def find_decision(result: Result[Answer, Verdict]) -> Answer | Verdict | None:
+    """Return the catalog's decision, or None if it is not known."""
     if isinstance(result, Success):
         return result.unwrap()
     verdict = result.failure()
-    return verdict if verdict.status < 500 else None
+    return verdict if verdict.status < FIRST_SERVER_ERROR_STATUS else None
 
 
-def read_begin(decision: Any, attempt: Attempt) -> Result[Begun | Recorded, Verdict]:
+def read_begin(
+    decision: Answer | Verdict, attempt: Attempt
+) -> Result[Begun | Recorded, Verdict]:
     """Translate the decision on `begin_operation`.
 
-    Only the outcome "begun" for this very attempt allows a dispatch.
+    Only the answer "begun", which the catalog gives to one attempt, allows a dispatch.
     """
     if isinstance(decision, Verdict):
         return Failure(decision)
-    fields = decision if isinstance(decision, Mapping) else {}
-    outcome = fields.get("outcome")
-    is_own = fields.get("attempt", attempt.attempt) == attempt.attempt
-    if outcome == "begun" and is_own:
+    if decision.code == "begun":
         return Success(Begun(**attempt.describe()))
-    if outcome == "recorded" and fields.get("body") is not None:
-        return Success(
-            Recorded(
-                status=fields["status"],
-                headers=[list(pair) for pair in fields.get("headers") or []],
-                body=fields["body"],
-            )
-        )
-    return Failure(_explain(outcome, attempt.key))
-
-
-def _explain(outcome: Any, key: str) -> Verdict:
-    if outcome == "conflict":
-        return refuse_conflict(key)
-    if outcome == "full":
-        return refuse_unavailable(key)
-    if outcome == "recorded":
-        return doubt(
-            "response_not_kept",
-            f"the operation with key {key} has run, its response was too long to keep",
-            status=409,
-        )
-    if outcome == "expired":
-        return doubt(
-            "operation_expired",
-            f"the operation with key {key} has run, its response has expired",
-            status=409,
-        )
-    return doubt_outcome(key)
+    if decision.code == "recorded":
+        return Success(Recorded(**decision.values))
+    return Failure(doubt_outcome(attempt.key))
 
 
 def refuse_conflict(key: str) -> Verdict:
     """Build the verdict for a key that was used with another request."""
     return refuse(
-        "operation_conflict",
+        "idempotency_conflict",
         f"idempotency key {key} was used with another request body",
-        status=409,
+        status=422,
     )
 
 
--- a/toucanwood/operations/tests/test_operations.py
+++ b/toucanwood/operations/tests/test_operations.py
@@ -1,4 +1,4 @@
-"""Tests of operations against a fake catalog with a fault at each step."""
+"""Tests of operations against the catalog with a fault at each step."""
 
 import asyncio
 import itertools
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from toucanwood.operations import Begun, Operations, Recorded
+from toucanwood.state import Catalog, encode_command
 from toucanwood.utils import run_virtual
 from toucanwood.verdicts import Execution, doubt, refuse
 
@@ -15,13 +16,13 @@
 FAULTS = ("none", "lost", "unanswered", "late", "refused", "unreachable", "slow")
 
 
-class FakeCatalog:
-    """Keep records as the catalog does; `faults` names one fault per submission."""
+class FaultyCatalog:
+    """Submit to the real catalog; `faults` names one fault per submission."""
 
     def __init__(self, faults=()):
         self.faults = list(faults)
         self.refused_kinds = set()
-        self.records = {}
+        self.catalog = Catalog()
         self.commands = []
 
     async def submit(self, command, *, timeout):
@@ -37,37 +38,16 @@
             asyncio.get_running_loop().call_later(timeout * 3, self.apply, command)
         if fault in ("none", "slow", "unanswered"):
             await asyncio.sleep(0.4 if fault == "slow" else 0.01)
-            result = self.apply(command)
+            answer = self.apply(command)
         if fault in ("none", "slow"):
-            return Success(result)
+            return (
+                Success(answer) if answer.is_accepted else Failure(answer.to_verdict())
+            )
         await asyncio.sleep(timeout)
         return Failure(doubt("no_answer", "the answer was lost", status=504))
 
     def apply(self, command):
-        name = (command["organisation"], command["key"])
-        record = self.records.get(name)
-        if command["kind"] == "begin_operation":
-            return self.begin(name, record, command)
-        if record is None or record["attempt"] != command["attempt"]:
-            return {"outcome": "unknown"}
-        if command["kind"] == "release_operation":
-            if "status" not in record:
-                del self.records[name]
-        else:
-            record.update(status=command["status"], body=command["body"])
-            record["headers"] = command["headers"]
-        return {"outcome": "done"}
-
-    def begin(self, name, record, command):
-        if record is None:
-            self.records[name] = dict(command)
-            return {"outcome": "begun", "attempt": command["attempt"]}
-        if record["digest"] != command["digest"]:
-            return {"outcome": "conflict"}
-        if "status" in record:
-            return {**record, "outcome": "recorded"}
-        outcome = "begun" if record["attempt"] == command["attempt"] else "in_progress"
-        return {"outcome": outcome, "attempt": record["attempt"]}
+        return self.catalog.apply(len(self.commands), encode_command(command))
 
 
 class Caller:
@@ -77,7 +57,7 @@
         self.entries = [Operations(submitter=catalog) for _ in range(2)]
         self.runs = {}
 
-    async def send(self, entry, key="k", *, patience=1.0, end="finish", digest="d"):
+    async def send(self, entry, key="k", *, patience=1.0, end="finish", digest=b"d"):
         operations = self.entries[entry]
         deadline = asyncio.get_running_loop().time() + patience
         result = await operations.begin("o", key, digest, deadline=deadline)
@@ -108,7 +88,7 @@
     # Guards against a dispatch after a lost begin and against a record that is lost
     # while the operation runs.
     async def main(faults, end):
-        caller = Caller(FakeCatalog(faults))
+        caller = Caller(FaultyCatalog(faults))
         first = await caller.send(0, end=end)
         if isinstance(first, Failure) and first.failure().is_not_run:
             assert caller.runs == {}
@@ -147,7 +127,7 @@
 def test_concurrent_and_cancelled_requests_run_at_most_once(faults, plan):
     # Guards against races between resends, cancelled callers and background retries.
     async def main():
-        caller = Caller(FakeCatalog(faults))
+        caller = Caller(FaultyCatalog(faults))
         tasks = []
         for entry, end, patience, pause, is_cancelled in plan:
             request = caller.send(entry, end=end, patience=patience)
@@ -165,13 +145,13 @@
 def test_resend_at_the_same_entry_waits_for_the_first_outcome():
     # Guards against a resend that is refused although the response is on its way.
     async def main():
-        catalog = FakeCatalog()
+        catalog = FaultyCatalog()
         caller = Caller(catalog)
         results = await asyncio.gather(*(caller.send(0) for _ in range(5)))
         assert results == [Success(ANSWER)] * 5
         assert [one["kind"] for one in catalog.commands].count("begin_operation") == 1
-        (refused,) = await asyncio.gather(caller.send(0, digest="other"))
-        assert refused.failure().code == "operation_conflict"
+        (refused,) = await asyncio.gather(caller.send(0, digest=b"other"))
+        assert refused.failure().code == "idempotency_conflict"
 
     run_virtual(main())
 
@@ -179,7 +159,7 @@
 def test_resend_gets_may_have_run_at_its_deadline():
     # Guards against a resend that outlives its deadline or claims "not run".
     async def main():
-        caller = Caller(FakeCatalog(["slow"]))
+        caller = Caller(FaultyCatalog(["slow"]))
         first = asyncio.create_task(caller.send(0))
         await asyncio.sleep(0)
         resend = await caller.send(0, patience=0.2)
@@ -193,7 +173,7 @@
 def test_unstored_finish_is_retried_and_resends_get_may_have_run_until_then():
     # Guards against a response that is lost because one store failed.
     async def main():
-        catalog = FakeCatalog()
+        catalog = FaultyCatalog()
         catalog.refused_kinds = {"finish_operation"}
         caller = Caller(catalog)
         assert await caller.send(0) == Success(ANSWER)
@@ -212,13 +192,14 @@
     # Guards against a key that stays locked after a begin without an answer, even when
     # that begin is committed after the release.
     async def main():
-        catalog = FakeCatalog(["late"])
+        catalog = FaultyCatalog(["late"])
         caller = Caller(catalog)
         result = await caller.send(0, patience=0.3)
         assert result.failure().is_not_run and result.failure().status == 503
-        assert len({one["attempt"] for one in catalog.commands}) == 1
+        assert len({one["attempt_id"] for one in catalog.commands}) == 1
         await asyncio.sleep(30)
-        assert catalog.records == {} and caller.runs == {}
+        assert caller.runs == {}
+        assert await caller.send(1) == Success(ANSWER)
 
     run_virtual(main())
 
@@ -226,8 +207,8 @@
 def test_outcome_must_be_reported_once():
     # Guards against a second outcome that overwrites the first.
     async def main():
-        operations = Operations(submitter=FakeCatalog())
-        begun = (await operations.begin("o", "k", "d", deadline=1.0)).unwrap()
+        operations = Operations(submitter=FaultyCatalog())
+        begun = (await operations.begin("o", "k", b"d", deadline=1.0)).unwrap()
         await operations.finish(begun, ANSWER)
         for call in (operations.finish(begun, ANSWER), operations.release(begun)):
             try:
--- a/toucanwood/peering/__init__.py
+++ b/toucanwood/peering/__init__.py
@@ -1,7 +1,7 @@
 """Authenticated msgpack streams between instances."""
 
 from toucanwood.peering._messages import decode_message, encode_message, message
-from toucanwood.peering._network import PeerNetwork
+from toucanwood.peering._network import PeerNetwork, split_address
 from toucanwood.peering._transport import Handler, PeerUnavailable, Transport
 
 __all__ = [
@@ -12,4 +12,5 @@
     "decode_message",
     "encode_message",
     "message",
+    "split_address",
 ]
--- a/toucanwood/peering/_connection.py
+++ b/toucanwood/peering/_connection.py
@@ -82,7 +82,8 @@
         self._pending[call_id] = future
         try:
             self._write([FORMAT_VERSION, CALL, call_id, *encode_message(body)])
-            return await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                return await future
         except TimeoutError:
             raise PeerUnavailable(
                 self.peer_id, f"no reply in {timeout:.3f} s", Execution.MAY_HAVE_RUN
--- a/toucanwood/peering/_network.py
+++ b/toucanwood/peering/_network.py
@@ -112,7 +112,8 @@
             return connection
         task = self._start_dialing(peer_id)
         try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout)
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(task)
         except (OSError, EOFError, TimeoutError, HandshakeError, ValueError) as error:
             reason = f"cannot connect: {error!r}"
             raise PeerUnavailable(peer_id, reason, Execution.NOT_RUN) from None
--- a/toucanwood/peering/testing.py
+++ b/toucanwood/peering/testing.py
@@ -142,7 +142,8 @@
             lambda peer, data: peer.receive(sender, data, future),
         )
         try:
-            return await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                return await future
         except TimeoutError:
             reason = f"no reply in {timeout:.3f} s"
             raise PeerUnavailable(peer_id, reason, Execution.MAY_HAVE_RUN) from None
--- /dev/null
+++ b/toucanwood/server/_instance.py
@@ -0,0 +1,358 @@
+"""The components of one instance and their life cycle."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import structlog
+
+from toucanwood.consensus import FileDisk, Replica, Storage
+from toucanwood.declaration import Service
+from toucanwood.dispatch import Dispatcher
+from toucanwood.entry import Entry
+from toucanwood.feed import (
+    Control,
+    ControlServer,
+    Publisher,
+    Subscriber,
+    View,
+    WithdrawalGossip,
+)
+from toucanwood.limits import Limiter
+from toucanwood.membership import Member, Membership, MemberState
+from toucanwood.operations import Operations
+from toucanwood.peering import PeerNetwork
+from toucanwood.server._adapters import (
+    EntryDispatcher,
+    EntryOperations,
+    ViewBlocks,
+    record_demand,
+)
+from toucanwood.server._metrics import Metrics
+from toucanwood.server._operators import Operators
+from toucanwood.server._ranking import RankedMember, rank_members
+from toucanwood.settings import Settings
+from toucanwood.state import Catalog
+from toucanwood.steering import (
+    Capacity,
+    DemandMeter,
+    Inputs,
+    RegionPlan,
+    ServiceRules,
+    Steering,
+)
+from toucanwood.utils import TaskGroup
+
+WEIGHTS_TIMEOUT_S = 2.0
+GAUGE_INTERVAL_S = 10.0
+# Lets requests that other instances have just routed here arrive.
+LEAVE_MARGIN_S = 0.5
+
+log = structlog.get_logger()
+
+
+class Instance:
+    """Build, start and stop everything that one process runs."""
+
+    def __init__(self, settings: Settings) -> None:
+        now = asyncio.get_running_loop().time()
+        self.settings = settings
+        self._incarnation = time.time_ns() // 1_000_000
+        self._random = random.Random(settings.seed)
+        self._tasks = TaskGroup()
+        self._metrics = Metrics(settings.statsd)
+        self._meter = DemandMeter(now=now)
+        self._build_network()
+        self._build_state(now)
+        self._build_limits()
+        self._build_dispatch()
+        self._build_steering(now)
+        self._build_entry()
+
+    async def start(self) -> None:
+        """Start every component; the entry listens last.
+
+        Raises DamagedStorageError or OSError.
+        """
+        await self.network.start()
+        if self.replica is not None:
+            await self.replica.start()
+        await self.membership.start()
+        await self.subscriber.start()
+        await self.limiter.start()
+        await self.dispatcher.start()
+        await self.steering.start()
+        await self.entry.start()
+        self._tasks.start(self._send_gauges(), name="gauges")
+        log.info("instance_started", id=self.settings.id, http=self.settings.http)
+
+    async def drain(self) -> None:
+        """Leave the lookup responses and finish every running request."""
+        self.membership.announce(MemberState.LEAVING)
+        log.info("instance_leaving", id=self.settings.id)
+        await asyncio.sleep(self.settings.lookup_ttl + LEAVE_MARGIN_S)
+        is_done = await self.entry.drain(timeout=self.settings.stop_timeout)
+        log.info("instance_drained", id=self.settings.id, complete=is_done)
+
+    async def stop(self) -> None:
+        """Hand back tokens, slots and leadership, and stop every component."""
+        await self.entry.stop()
+        await self.operations.stop()
+        await self.limiter.stop()
+        await self.steering.stop()
+        await self.dispatcher.stop()
+        if self.replica is not None:
+            await self.replica.stop()
+        await self.subscriber.stop()
+        await self.membership.stop()
+        await self._tasks.stop()
+        await self.network.stop()
+        log.info("instance_stopped", id=self.settings.id)
+
+    async def wait_failed(self) -> str:
+        """Wait until the data directory fails and return the reason."""
+        if self.replica is None:
+            await asyncio.get_running_loop().create_future()
+            raise AssertionError("an instance without a disk can't fail this way")
+        return await self.replica.wait_failed()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of every component, without secrets."""
+        components: dict[str, Any] = {
+            "network": self.network,
+            "members": self.membership,
+            "replica": self.replica,
+            "catalog": self.catalog,
+            "view": self.view,
+            "subscriber": self.subscriber,
+            "limiter": self.limiter,
+            "operations": self.operations,
+            "dispatcher": self.dispatcher,
+            "plan": self.plan,
+            "steering": self.steering,
+            "entry": self.entry,
+        }
+        dumps = {
+            name: component.dump()
+            for name, component in components.items()
+            if component is not None
+        }
+        return {"id": self.settings.id, "incarnation": self._incarnation, **dumps}
+
+    def _build_network(self) -> None:
+        settings = self.settings
+        self.network = PeerNetwork(
+            instance_id=settings.id,
+            address=settings.peer,
+            secret=settings.peer_secret.encode(),
+        )
+        own = Member(
+            id=settings.id,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            http=settings.http,
+            peer=settings.peer,
+            is_control=settings.data_dir is not None,
+            incarnation=self._incarnation,
+        )
+        self.membership = Membership(
+            transport=self.network,
+            own=own,
+            seeds=[(item.id, item.address) for item in settings.peers],
+            set_address=self.network.set_address,
+            seed=settings.seed,
+        )
+        for item in settings.control:
+            if item.id != settings.id:
+                self.network.set_address(item.id, item.address)
+
+    def _build_state(self, now: float) -> None:
+        settings = self.settings
+        self.catalog: Catalog | None = None
+        self.replica: Replica | None = None
+        self.view = View(created=now)
+        gossip = WithdrawalGossip(transport=self.network, view=self.view)
+        publisher = None
+        server = None
+        if settings.data_dir is not None:
+            self.catalog = Catalog()
+            self.replica = Replica(
+                transport=self.network,
+                storage=Storage(FileDisk(settings.data_dir)),
+                machine=self.catalog,
+                voters=[item.id for item in settings.control],
+                seed=settings.seed,
+            )
+            publisher = Publisher(
+                transport=self.network, catalog=self.catalog, replica=self.replica
+            )
+            server = ControlServer(transport=self.network, replica=self.replica)
+        self.subscriber = Subscriber(
+            transport=self.network,
+            view=self.view,
+            gossip=gossip,
+            replicas=self._list_replicas,
+            publisher=publisher,
+        )
+        self.control = Control(
+            transport=self.network,
+            gossip=gossip,
+            replicas=self._list_replicas,
+            server=server,
+        )
+
+    def _build_limits(self) -> None:
+        self.limiter = Limiter(
+            transport=self.network,
+            leader=self._find_leader,
+            is_leader=self._is_leader,
+            limits_of=self._find_limits,
+        )
+        self.operations = Operations(submitter=self.control)
+
+    def _build_dispatch(self) -> None:
+        self.dispatcher = Dispatcher(
+            transport=self.network,
+            data_centre=self.settings.data_centre,
+            incarnation=self._incarnation,
+            members=self._list_member_ids,
+            region_of=lambda name: self.view.declaration.region_by_data_centre.get(
+                name
+            ),
+            is_drained=lambda name: self.view.declaration.is_drained(name),
+            random=self._random,
+        )
+        self.membership.listen(self._note_member)
+
+    def _build_steering(self, now: float) -> None:
+        self.plan = RegionPlan(
+            cap=lambda service: self._find_service(service).shift_cap,
+            published=self.view.weights,
+            capacity=self._measure_capacity,
+            regions=self._list_regions,
+            now=now,
+        )
+        inputs = Inputs(
+            leader=self._find_leader,
+            is_leader=self._is_leader,
+            services=self._list_rules,
+            regions=self._list_regions,
+            drained=lambda: self.view.declaration.drains.regions,
+            slots=self.dispatcher.count_slots,
+            published=self.view.weights,
+            publish=self._publish_weights,
+        )
+        self.steering = Steering(
+            transport=self.network, meter=self._meter, inputs=inputs
+        )
+
+    def _build_entry(self) -> None:
+        operators = Operators(
+            control=self.control,
+            view=self.view,
+            replica=self.replica,
+            collect_dump=self.dump,
+        )
+        self.entry = Entry(
+            settings=self.settings,
+            view=self.view,
+            limiter=self.limiter,
+            operations=EntryOperations(self.operations),
+            plan=self.plan,
+            dispatcher=EntryDispatcher(self.dispatcher),
+            client_blocks=ViewBlocks(self.view),
+            rank_entries=self._rank_entries,
+            operators=operators,
+            count_entries=self._count_entries,
+            on_decision=self._record_decision,
+        )
+
+    def _list_replicas(self) -> Iterable[str]:
+        """Return the control instances, those of the settings first."""
+        ids = dict.fromkeys(item.id for item in self.settings.control)
+        members = self.membership.list_live()
+        ids.update(dict.fromkeys(item.id for item in members if item.is_control))
+        return list(ids)
+
+    def _list_member_ids(self) -> frozenset[str]:
+        return frozenset(member.id for member in self.membership.list_live())
+
+    def _list_regions(self) -> list[str]:
+        return [region.name for region in self.view.declaration.regions]
+
+    def _list_rules(self) -> dict[str, ServiceRules]:
+        return {
+            service.name: ServiceRules(
+                cap=service.shift_cap, fixed_weights=service.weight_by_region
+            )
+            for service in self.view.declaration.services
+        }
+
+    def _find_service(self, name: str) -> Service:
+        return self.view.declaration.service_by_name[name]
+
+    def _find_limits(self, name: str) -> tuple[float, float] | None:
+        organisation = self.view.declaration.organisation_by_name.get(name)
+        if organisation is None:
+            return None
+        return organisation.rate, organisation.burst
+
+    def _is_leader(self) -> bool:
+        return self.replica is not None and self.replica.is_leader()
+
+    def _find_leader(self) -> str | None:
+        if self.replica is not None:
+            return self.replica.leader()
+        return self.subscriber.leader
+
+    def _measure_capacity(self, service: str, region: str) -> Capacity:
+        return Capacity(
+            slots=self.dispatcher.count_slots(service, region),
+            free=self.dispatcher.count_free(service, region),
+        )
+
+    async def _publish_weights(
+        self, service: str, home: str, weights: dict[str, float]
+    ) -> bool:
+        command = {
+            "kind": "set_weights",
+            "service": service,
+            "home_region": home,
+            "weights": weights,
+        }
+        result = await self.control.submit(command, timeout=WEIGHTS_TIMEOUT_S)
+        return result.map(lambda _: True).value_or(False)
+
+    def _rank_entries(self, home_region: str, now: float) -> list[RankedMember]:
+        return rank_members(self.view, self.membership, home_region, now)
+
+    def _count_entries(self) -> int:
+        region = self.settings.region
+        return sum(item.region == region for item in self.membership.list_live())
+
+    def _note_member(self, member: Member) -> None:
+        # A dead member may only be cut off and still run requests; its slots stay
+        # taken until their leases end.
+        if member.state is MemberState.LEFT:
+            self.dispatcher.remove_instance(member.id)
+
+    def _record_decision(self, decision: Any) -> None:
+        record_demand(self._meter, decision)
+        self._metrics.record_decision(decision)
+
+    async def _send_gauges(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sent, received = self.network.count_bytes()
+            self._metrics.set_gauges(
+                {
+                    f"{self.settings.id}.view.revision": self.view.revision,
+                    f"{self.settings.id}.view.age_s": self.view.freshness(loop.time()),
+                    f"{self.settings.id}.members": len(self.membership.list_live()),
+                    f"{self.settings.id}.peers.sent_bytes": sent,
+                    f"{self.settings.id}.peers.received_bytes": received,
+                }
+            )
+            await asyncio.sleep(GAUGE_INTERVAL_S)
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+CANCEL_INTERVAL_S = 0.1
+
 log = structlog.get_logger()
 
 
@@ -27,12 +29,17 @@
         return bool(self._tasks)
 
     async def stop(self) -> None:
-        """Cancel every task and wait for it."""
+        """Cancel every task and wait for it.
+
+        A task can lose a cancellation, for example in `asyncio.wait_for` when the
+        awaited future ends in the same loop iteration, so it is cancelled again.
+        """
         current = asyncio.current_task()
-        tasks = [task for task in self._tasks if task is not current]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        pending = {task for task in self._tasks if task is not current}
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL_S)
 
     def _finish(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
