--- a/toucanwood/dispatch/_acquisition.py
+++ b/toucanwood/dispatch/_acquisition.py
@@ -19,6 +19,7 @@
 MAX_IMMEDIATE_TRIES = 3
 PARALLEL_QUEUES = 2
 RECHECK_S = 0.05
+RETRY_PAUSE_S = 0.1
 
 
 @attrs.frozen
@@ -43,6 +44,7 @@
     transport: Transport
     _refused_numbers: set[int] = attrs.field(factory=set)
     _queued: dict[asyncio.Task[SlotLease | None], str] = attrs.field(factory=dict)
+    _unreachable: set[str] = attrs.field(factory=set)
     _refused: set[str] = attrs.field(factory=set)
     _retry_after: float = 1.0
 
@@ -69,8 +71,10 @@
         try:
             while self._remaining() > 0:
                 self._open_queues()
-                if not self._queued:
+                if not self._queued and not await self._pause_for_unreachable():
                     return None
+                if not self._queued:
+                    continue
                 lease = await self._wait_for_queues()
                 if lease is not None:
                     return lease
@@ -81,13 +85,23 @@
     def _open_queues(self) -> None:
         ranked = self._rank()
         for owner, free in ranked:
-            if owner in self._refused or owner in self._queued.values():
+            if owner in self._queued.values():
+                continue
+            if owner in self._refused or owner in self._unreachable:
                 continue
             # A slot that becomes free elsewhere is worth a further place in a queue.
             if len(self._queued) < PARALLEL_QUEUES or free > 0:
                 task = asyncio.create_task(self._queue_at(owner))
                 self._queued[task] = owner
 
+    async def _pause_for_unreachable(self) -> bool:
+        """Wait before unreachable owners are tried again; return False if none is."""
+        if not self._unreachable:
+            return False
+        self._unreachable.clear()
+        await asyncio.sleep(min(RETRY_PAUSE_S, self._remaining()))
+        return True
+
     async def _wait_for_queues(self) -> SlotLease | None:
         timeout = min(RECHECK_S, self._remaining())
         done, _ = await asyncio.wait(
@@ -97,9 +111,9 @@
         for task in done:
             owner = self._queued.pop(task)
             lease = task.result()
-            if lease is None:
+            if lease is None and owner not in self._unreachable:
                 self._refused.add(owner)
-            else:
+            if lease is not None:
                 leases.append(lease)
         self._release(leases[1:])
         return leases[0] if leases else None
@@ -159,6 +173,7 @@
             reply = await self.transport.call(owner, body, timeout=timeout)
         except PeerUnavailable:
             self.directory.suspect(owner, _now())
+            self._unreachable.add(owner)
             return None
         return reply if isinstance(reply, SlotReply) else None
 
--- a/toucanwood/dispatch/_claims.py
+++ b/toucanwood/dispatch/_claims.py
@@ -75,15 +75,15 @@
         await self._tasks.stop()
 
     async def _claim(self, target_id: str) -> None:
-        target = self._owner.targets[target_id]
+        target = self._owner.get_target(target_id)
         progress = Progress(started_at=_now())
         self._claim_own(target_id)
-        while self._owner.targets.get(target_id) is target:
+        while self._owner.get_target(target_id) is target:
             await self._ask_unanswered(target_id, progress)
             if self._is_safe(progress):
                 break
             await asyncio.sleep(CLAIM_INTERVAL_S)
-        if self._owner.targets.get(target_id) is not target:
+        if target is None or self._owner.get_target(target_id) is not target:
             return
         # Without any other target of the service, ramp-up would only refuse requests.
         ramp = self._is_known_service(target.announcement.service, target.region)
@@ -142,7 +142,7 @@
 
     async def _handle_claim(self, sender: str, body: ClaimTarget) -> ClaimReply:
         now = _now()
-        target = self._owner.targets.get(body.target_id)
+        target = self._owner.get_target(body.target_id)
         # An owner that has not finished its own claim may not know of all leases.
         was_open = target is not None and target.is_open
         granted = self._owner.give_up(body.target_id)
--- a/toucanwood/dispatch/_directory.py
+++ b/toucanwood/dispatch/_directory.py
@@ -1,13 +1,13 @@
 """What this instance knows of the free slots at all owners."""
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 
 from toucanwood.dispatch._messages import DirectoryDelta
-from toucanwood.dispatch._owner import Share
+from toucanwood.dispatch._registry import Share
 
 # An owner repeats unchanged shares this often, so that a lost delta is made good.
 REFRESH_S = 1.0
@@ -35,10 +35,12 @@
         data_centre: str,
         region_of: Callable[[str], str | None],
         random: random.Random,
+        is_drained: Callable[[str], bool],
     ) -> None:
         self._instance_id = instance_id
         self._data_centre = data_centre
         self._region_of = region_of
+        self._is_drained = is_drained
         self._random = random
         self._shares: dict[tuple[str, str, str], KnownShare] = {}
         self._sequences: dict[str, tuple[int, int]] = {}
@@ -84,12 +86,8 @@
         free: dict[str, int] = {}
         local: dict[str, bool] = {}
         pressure: dict[str, float] = {}
-        for known in self._shares.values():
+        for known in self._list_usable(service, region):
             share = known.share
-            if share.service != service or not share.slots:
-                continue
-            if self._region_of(share.data_centre) != region:
-                continue
             owner = known.owner
             free[owner] = free.get(owner, 0) + known.free
             is_local = share.data_centre == self._data_centre
@@ -116,16 +114,11 @@
 
     def count_slots(self, service: str, region: str) -> int:
         """Return the slots of a service in a region."""
-        return sum(
-            known.share.slots
-            for known in self._shares.values()
-            if known.share.service == service
-            and self._region_of(known.share.data_centre) == region
-        )
+        return sum(known.share.slots for known in self._list_usable(service, region))
 
-    def list_shares(self) -> Collection[KnownShare]:
-        """Return all known shares."""
-        return self._shares.values()
+    def count_free(self, service: str, region: str) -> int:
+        """Return the free slots of a service in a region."""
+        return sum(max(known.free, 0) for known in self._list_usable(service, region))
 
     def dump(self, now: float) -> list[dict[str, Any]]:
         """Return the known shares and their ages in seconds."""
@@ -138,6 +131,20 @@
             for known in self._shares.values()
         ]
 
+    def _list_usable(self, service: str, region: str) -> list[KnownShare]:
+        """Return the shares with slots, without drained ones unless all are drained."""
+        shares = [
+            known
+            for known in self._shares.values()
+            if known.share.service == service
+            and known.share.slots
+            and self._region_of(known.share.data_centre) == region
+        ]
+        usable = [
+            known for known in shares if not self._is_drained(known.share.data_centre)
+        ]
+        return usable or shares
+
     def _forget(self, owner: str) -> None:
         for place in [place for place in self._shares if place[0] == owner]:
             del self._shares[place]
--- a/toucanwood/dispatch/_dispatcher.py
+++ b/toucanwood/dispatch/_dispatcher.py
@@ -54,7 +54,8 @@
     """Own the slots of local targets and acquire slots from all owners.
 
     `members` returns the ids of the known instances, `region_of` the region of a data
-    centre. `incarnation` must grow with each start of the instance.
+    centre. `incarnation` must grow with each start of the instance. A data centre for
+    which `is_drained` is true gets work only where its region has no other targets.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         members: Callable[[], Collection[str]],
         region_of: Callable[[str], str | None],
         random: random.Random,
+        is_drained: Callable[[str], bool] = lambda data_centre: False,
         selector: Selector | None = None,
     ) -> None:
         self._transport = transport
@@ -79,12 +81,14 @@
             data_centre=data_centre,
             region_of=region_of,
             random=random,
+            is_drained=is_drained,
         )
         self._service = SlotService(
             transport=transport,
             incarnation=incarnation,
             remote_usage=self._directory.count_usage,
             is_isolated=self._is_isolated,
+            is_drained=is_drained,
             selector=selector,
         )
         self._owner: SlotOwner = self._service.owner
@@ -189,6 +193,10 @@
         """Return the known slots of a service in a region."""
         return self._directory.count_slots(service, region)
 
+    def count_free(self, service: str, region: str) -> int:
+        """Return the known free slots of a service in a region."""
+        return self._directory.count_free(service, region)
+
     def dump(self) -> dict[str, Any]:
         """Return the state as owner, as holder, and the directory."""
         now = _now()
--- /dev/null
+++ b/toucanwood/dispatch/_registry.py
@@ -0,0 +1,197 @@
+"""The targets that announced to one instance and the leases on them."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+
+from toucanwood.dispatch._target import (
+    FAILING_RATE,
+    TARGET_LEASE_S,
+    Announcement,
+    LeaseKey,
+    Outcome,
+    OwnedLease,
+    Target,
+)
+
+FORGET_TARGET_S = 60.0
+# A target counts as failing only when its failure rate is this many times that of the
+# other targets, because requests that fail everywhere say nothing about the target.
+FAILING_RATIO = 2.0
+
+
+@attrs.frozen
+class Share:
+    """Summarise an owner's targets of one service in one data centre."""
+
+    service: str
+    data_centre: str
+    free: int
+    slots: int
+    waiting: int
+    usage: dict[str, int]
+
+
+class TargetRegistry:
+    """Keep targets by place and count every lease exactly once.
+
+    A drained data centre gets work only where its region has no other target here.
+    """
+
+    def __init__(self, *, is_drained: Callable[[str], bool]) -> None:
+        self._is_drained = is_drained
+        self._targets: dict[str, Target] = {}
+        self._by_place: dict[tuple[str, str], list[Target]] = {}
+        self._target_of: dict[LeaseKey, Target] = {}
+        self._usage: dict[tuple[str, str], int] = {}
+
+    def get(self, target_id: str) -> Target | None:
+        """Return a target by its id."""
+        return self._targets.get(target_id)
+
+    def find(self, key: LeaseKey) -> Target | None:
+        """Return the target of a lease."""
+        return self._target_of.get(key)
+
+    def list_all(self) -> list[Target]:
+        """Return all targets."""
+        return list(self._targets.values())
+
+    def list_usable(self, service: str, region: str) -> list[Target]:
+        """Return the targets that may get work of a service in a region."""
+        targets = self._by_place.get((service, region), [])
+        usable = [
+            target
+            for target in targets
+            if not self._is_drained(target.announcement.data_centre)
+        ]
+        return usable or targets
+
+    def list_holders_keys(self, holder: str) -> list[LeaseKey]:
+        """Return the keys of an instance's leases."""
+        return [key for key in self._target_of if key.holder == holder]
+
+    def announce(self, announcement: Announcement, region: str, now: float) -> bool:
+        """Add or renew a target; return whether it is new here."""
+        target = self._targets.get(announcement.id)
+        if target is None or target.place != (announcement.service, region):
+            self.remove(announcement.id)
+            self._add(announcement, region, now)
+            return True
+        if not target.is_current(now):
+            target.resume(now)
+        target.renew(announcement, now)
+        return False
+
+    def remove(self, target_id: str) -> list[OwnedLease] | None:
+        """Remove a target and return its leases; None if there is no such target."""
+        target = self._targets.pop(target_id, None)
+        if target is None:
+            return None
+        self._by_place[target.place].remove(target)
+        leases = list(target.leases.values())
+        for lease in leases:
+            self.end(lease.key)
+        return leases
+
+    def has_just_left(self, target_id: str, now: float) -> bool:
+        """Return whether an announcement may have been sent before the leave."""
+        target = self._targets.get(target_id)
+        if target is None or target.left_at is None:
+            return False
+        return now < target.left_at + TARGET_LEASE_S
+
+    def count(self, target: Target, lease: OwnedLease, now: float) -> None:
+        """Count a lease on a target; one that is known is not counted again."""
+        if lease.key in self._target_of:
+            return
+        target.start(lease, now)
+        self._target_of[lease.key] = target
+        place = target.announcement.service, lease.organisation
+        self._usage[place] = self._usage.get(place, 0) + 1
+
+    def end(self, key: LeaseKey) -> Target | None:
+        """Free the slot of a lease and return its target."""
+        target = self._target_of.pop(key, None)
+        if target is None:
+            return None
+        lease = target.end(key)
+        place = target.announcement.service, lease.organisation
+        self._usage[place] -= 1
+        if not self._usage[place]:
+            del self._usage[place]
+        return target
+
+    def observe(self, target: Target, outcome: Outcome, duration: float) -> None:
+        """Record how a request ended and compare the target with the others."""
+        target.observe(outcome, duration)
+        others = [
+            other.failure_rate
+            for other in self._by_place[target.place]
+            if other is not target
+        ]
+        usual = sum(others) / len(others) if others else 1.0
+        rate = target.failure_rate
+        target.is_failing = rate > FAILING_RATE and rate > FAILING_RATIO * usual
+
+    def list_over(self, now: float, holder_timeout: float) -> list[LeaseKey]:
+        """Return the leases past their deadline or with a silent holder."""
+        return [
+            lease.key
+            for target in self._targets.values()
+            for lease in target.leases.values()
+            if now >= min(lease.deadline, lease.heard_at + holder_timeout)
+        ]
+
+    def forget_silent(self, now: float) -> None:
+        """Remove targets without leases that have been silent for long."""
+        for target in self.list_all():
+            if now >= target.renewed_at + FORGET_TARGET_S and not target.leases:
+                self.remove(target.id)
+
+    def count_usage(self, service: str, organisation: str) -> int:
+        """Return the slots of an organisation in use here."""
+        return self._usage.get((service, organisation), 0)
+
+    def count_free(self, service: str, region: str, now: float) -> int:
+        """Return the slots that can be granted now."""
+        targets = self.list_usable(service, region)
+        return sum(target.count_free(now) for target in targets)
+
+    def list_shares(
+        self, count_waiting: Callable[[str, str], int], now: float
+    ) -> list[Share]:
+        """Return a summary per service and data centre."""
+        groups: dict[tuple[str, str], list[Target]] = {}
+        for target in self._targets.values():
+            place = target.announcement.service, target.announcement.data_centre
+            groups.setdefault(place, []).append(target)
+        return [
+            _summarise(place, targets, count_waiting(*targets[0].place), now)
+            for place, targets in groups.items()
+        ]
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state of all targets."""
+        return {name: target.dump(now) for name, target in self._targets.items()}
+
+    def _add(self, announcement: Announcement, region: str, now: float) -> None:
+        target = Target(announcement=announcement, region=region, renewed_at=now)
+        self._targets[target.id] = target
+        self._by_place.setdefault(target.place, []).append(target)
+
+
+def _summarise(
+    place: tuple[str, str], targets: Iterable[Target], waiting: int, now: float
+) -> Share:
+    usage: dict[str, int] = {}
+    slots = free = 0
+    for target in targets:
+        for lease in target.leases.values():
+            usage[lease.organisation] = usage.get(lease.organisation, 0) + 1
+        if target.is_open and target.is_current(now):
+            slots += target.slots
+            free += target.count_free(now)
+    service, data_centre = place
+    return Share(service, data_centre, free, slots, waiting, usage)
--- a/toucanwood/dispatch/_service.py
+++ b/toucanwood/dispatch/_service.py
@@ -29,10 +29,14 @@
         incarnation: int,
         remote_usage: Usage,
         is_isolated: Callable[[], bool],
+        is_drained: Callable[[str], bool],
         selector: Selector | None,
     ) -> None:
         self.owner = SlotOwner(
-            remote_usage=remote_usage, on_decision=self._decide, selector=selector
+            remote_usage=remote_usage,
+            on_decision=self._decide,
+            selector=selector,
+            is_drained=is_drained,
         )
         self._incarnation = incarnation
         self._is_isolated = is_isolated
--- a/toucanwood/dispatch/_target.py
+++ b/toucanwood/dispatch/_target.py
@@ -95,6 +95,11 @@
         """Return whether the target said that it leaves."""
         return self.left_at is not None
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Return the service and region."""
+        return self.announcement.service, self.region
+
     @property
     def in_flight(self) -> int:
         """Return the number of slots in use."""
@@ -133,6 +138,13 @@
         self.announcement = announcement
         self.renewed_at = now
 
+    def resume(self, now: float) -> None:
+        """Return to service after an absence."""
+        self.left_at = None
+        self.ramp_from = now
+        self.is_failing = False
+        self.failure_rate = 0.0
+
     def start(self, lease: OwnedLease, now: float) -> None:
         """Count a granted lease."""
         self.leases[lease.key] = lease
@@ -140,12 +152,10 @@
         self.last_started_at = now
         self._note_busy()
 
-    def end(self, key: LeaseKey) -> OwnedLease | None:
+    def end(self, key: LeaseKey) -> OwnedLease:
         """Free the slot of a lease."""
-        lease = self.leases.pop(key, None)
-        if lease is not None:
-            self.ended += 1
-        return lease
+        self.ended += 1
+        return self.leases.pop(key)
 
     def observe(self, outcome: Outcome, duration: float) -> None:
         """Record how a request ended; `duration` is in seconds."""
