--- a/toucanwood/consensus/_records.py
+++ b/toucanwood/consensus/_records.py
@@ -39,20 +39,29 @@
 def read_records(data: bytes, name: str) -> tuple[list[Any], int]:
     """Return the records and the length up to a torn tail.
 
-    Raises DamagedStorageError for a bad record in a part that had been synced.
+    Raises DamagedStorageError for a bad record in a part that had been synced, as far
+    as another record proves it. Damage in the last write looks like a torn tail.
     """
     records = []
-    offset = 0
-    while offset < len(data):
-        record = _read_at(data, offset)
-        if record is None:
-            _check_torn(data, offset, name)
-            break
+    offset = synced = 0
+    while (record := _read_at(data, offset)) is not None:
         records.append(record.content)
         offset = record.end
+        synced = max(synced, record.synced)
+    if offset < synced:
+        raise DamagedStorageError(
+            f"file {name} is damaged at byte {offset}: {synced} bytes had been synced"
+        )
+    _check_torn(data, offset, name)
     return records, offset
 
 
+def pack_file(contents: list[Any]) -> bytes:
+    """Encode the records of a file that is synced as a whole before it is used."""
+    size = sum(len(pack_record(content)) for content in contents)
+    return b"".join(pack_record(content, synced=size) for content in contents)
+
+
 def read_single(data: bytes, name: str) -> Any:
     """Return the only record of a file that is always written as a whole."""
     record = _read_at(data, 0)
--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -14,6 +14,7 @@
 from toucanwood.consensus._records import (
     DamagedStorageError,
     StorageError,
+    pack_file,
     pack_record,
     read_records,
     read_single,
@@ -152,7 +153,7 @@
         last_index = self.log.last_index
         records: list[list[Any]] = [[_BASE, self.log.base_index, self.log.base_term]]
         records += [[_ENTRY, *entry.pack()] for entry in self.log.entries]
-        data = b"".join(pack_record(record) for record in records)
+        data = pack_file(records)
         await self._replace(LOG_FILE, data)
         self._log_bytes = len(data)
         self._finish_sync(target, last_index)
--- a/toucanwood/consensus/tests/fixtures.py
+++ b/toucanwood/consensus/tests/fixtures.py
@@ -1,8 +1,9 @@
-"""A cluster of real replicas on a fake network and fake disks."""
+"""A cluster of real replicas on a fake network and fake disks, and an oracle."""
 
 import asyncio
 import math
 
+import msgpack
 from returns.result import Success
 
 from toucanwood.consensus import Replica, Storage
@@ -10,32 +11,69 @@
 from toucanwood.peering.testing import FakeNetwork
 
 
-class ListMachine:
-    """Remember every command in order."""
+class History:
+    """Compare what replicas apply and acknowledge; `errors` must stay empty."""
 
     def __init__(self):
-        self.commands = []
+        self.by_index = {}
+        self.index_of = {}
+        self.acknowledged = []
+        self.refused = set()
+        self.errors = []
+
+    def apply(self, index, command):
+        if self.by_index.setdefault(index, command) != command:
+            self.errors.append(f"index {index} applied with two commands")
+        if self.index_of.setdefault(command, index) != index:
+            self.errors.append(f"command {command!r} applied twice")
+        if command in self.refused:
+            self.errors.append(f"command {command!r} applied after a refusal")
+
+    def refuse(self, command):
+        self.refused.add(command)
+        if command in self.index_of:
+            self.errors.append(f"command {command!r} refused after it was applied")
+
+    def acknowledge(self, index, command):
+        self.acknowledged.append((now(), index, command))
+        if self.by_index.get(index) != command:
+            self.errors.append(f"command {command!r} acknowledged and not applied")
+
+
+class ListMachine:
+    """Remember every command with its index."""
+
+    def __init__(self, history):
+        self.history = history
+        self.commands = {}
 
     def apply(self, index, command):
-        self.commands.append(command)
+        if self.commands and index <= max(self.commands):
+            self.history.errors.append(f"index {index} applied out of order")
+        self.history.apply(index, command)
+        self.commands[index] = command
         return index
 
     def snapshot(self):
-        return b"\n".join(self.commands)
+        return msgpack.packb(self.commands)
 
     def restore(self, data):
-        self.commands = data.split(b"\n") if data else []
+        self.commands = msgpack.unpackb(data, strict_map_key=False)
+        for index, command in self.commands.items():
+            self.history.apply(index, command)
 
 
 class Cluster:
     """Start, crash and restart replicas."""
 
-    def __init__(self, ids, *, seed=1, **options):
+    def __init__(self, ids, *, voters=None, seed=1, **options):
         self.ids = list(ids)
+        self.voters = list(voters or ids)
         self.seed = seed
-        self.options = {"snapshot_entries": 50, "keep_entries": 10, **options}
+        self.options = {"snapshot_entries": 20, "keep_entries": 5, **options}
         self.network = FakeNetwork(seed)
-        self.disks = {}
+        self.history = History()
+        self.disks = {key: FakeDisk(seed * 100 + n) for n, key in enumerate(self.ids)}
         self.machines = {}
         self.replicas = {}
         self.starts = 0
@@ -46,21 +84,17 @@
 
     async def start_one(self, replica_id):
         self.starts += 1
-        disk = self.disks.setdefault(
-            replica_id, FakeDisk(self.seed * 100 + len(self.disks))
-        )
-        machine = ListMachine()
+        self.machines[replica_id] = ListMachine(self.history)
         replica = Replica(
             transport=self.network.transport(replica_id),
-            storage=Storage(disk),
-            machine=machine,
-            voters=self.ids,
+            storage=Storage(self.disks[replica_id]),
+            machine=self.machines[replica_id],
+            voters=self.voters,
             seed=self.seed * 1000 + self.starts,
             **self.options,
         )
-        await replica.start()
-        self.machines[replica_id] = machine
         self.replicas[replica_id] = replica
+        await replica.start()
 
     async def crash(self, replica_id):
         """Stop a process without any warning."""
@@ -78,41 +112,87 @@
         await self.start_one(replica_id)
 
     def leaders(self):
-        return [key for key, r in self.replicas.items() if r.is_leader()]
+        return [key for key, replica in self.replicas.items() if replica.is_leader()]
 
-    async def wait_leader(self, *, among=None, limit=30.0):
-        allowed = among or self.replicas
-        return await wait_until(
-            lambda: next((key for key in self.leaders() if key in allowed), None), limit
-        )
+    async def wait_leader(self, among=None, *, limit=30.0):
+        def find():
+            return next((x for x in self.leaders() if x in (among or self.ids)), None)
+
+        return await wait_until(find, limit)
+
+    async def propose_once(self, replica_id, command, *, timeout=1.0):
+        result = await self.replicas[replica_id].propose(command, timeout=timeout)
+        if isinstance(result, Success):
+            self.history.acknowledge(result.unwrap(), command)
+        elif result.failure().is_not_run:
+            self.history.refuse(command)
+        return result
 
-    async def propose(self, command, *, limit=30.0):
+    async def propose(self, command, *, among=None):
         """Propose through whichever replica leads until it is committed."""
-        deadline = now() + limit
-        while now() < deadline:
-            leader = await self.wait_leader(limit=limit)
-            result = await self.replicas[leader].propose(command, timeout=1.0)
+        for attempt in range(30):
+            leader = await self.wait_leader(among)
+            name = command if attempt == 0 else b"%b/%d" % (command, attempt)
+            result = await self.propose_once(leader, name)
             if isinstance(result, Success):
                 return result.unwrap()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.1)
         raise AssertionError(f"{command!r} was not committed")
 
-    async def wait_equal(self, *, limit=30.0):
-        """Wait until all running replicas have applied the same commands."""
+    def members(self):
+        """Return the members that a valid leader knows, or None."""
+        leaders = self.leaders()
+        if not leaders:
+            return None
+        core = self.replicas[leaders[0]]._core
+        return core.members if core.members_index <= core.commit_index else None
+
+    def is_voter(self, replica_id):
+        """Return whether the present disk of a replica votes."""
+        members = self.members()
+        replica = self.replicas.get(replica_id)
+        if members is None or replica is None:
+            return False
+        return members.is_voter(replica_id, replica._core.incarnation)
+
+    async def wait_equal(self, limit=60.0):
+        """Wait until all members have applied the same entries; compare them."""
 
         def is_equal():
-            applied = {r._core.applied_index for r in self.replicas.values()}
-            return len(applied) == 1 and self.leaders()
+            members = self.members()
+            if members is None or not set(members.by_id) <= set(self.replicas):
+                return False
+            cores = [self.replicas[key]._core for key in members.by_id]
+            lasts = {core.storage.log.last_index for core in cores}
+            return len(lasts | {core.applied_index for core in cores}) == 1
 
         await wait_until(is_equal, limit)
-        first = next(iter(self.replicas))
-        for replica_id in self.replicas:
-            expected = self.machines[first].commands
-            assert self.machines[replica_id].commands == expected
-
-    def voters(self):
-        leader = self.leaders()[0]
-        return set(self.replicas[leader]._core.members.voters)
+        states = [self.machines[key].commands for key in self.members().by_id]
+        assert all(state == states[0] for state in states)
+        for _, index, command in self.history.acknowledged:
+            assert states[0].get(index) == command, f"{command!r} was lost"
+
+    def check(self):
+        """Check what must hold at any moment."""
+        assert not self.history.errors, self.history.errors
+        assert len(self.leaders()) <= 1, f"leaders with a lease: {self.leaders()}"
+        for replica_id, replica in self.replicas.items():
+            proven_at = now() - replica.lease_age()
+            if math.isinf(proven_at):
+                continue
+            for time, index, command in self.history.acknowledged:
+                known = replica._core.applied_index >= index
+                assert known or time > proven_at, (
+                    f"{replica_id} proved its state current at {proven_at:.4f} "
+                    f"without {command!r}, acknowledged at {time:.4f}"
+                )
+
+    async def watch(self, duration, interval=0.01):
+        """Let time pass and check at every interval."""
+        deadline = now() + duration
+        while now() < deadline:
+            self.check()
+            await asyncio.sleep(interval)
 
 
 def now():
@@ -125,7 +205,3 @@
         assert now() < deadline, f"condition not met within {limit} s"
         await asyncio.sleep(0.01)
     return value
-
-
-def is_infinite(value):
-    return math.isinf(value)
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -12,7 +12,8 @@
         for number in range(20):
             await cluster.propose(b"%d" % number)
         await cluster.wait_equal()
-        assert cluster.machines["a"].commands == [b"%d" % n for n in range(20)]
+        commands = cluster.machines["a"].commands.values()
+        assert list(commands) == [b"%d" % n for n in range(20)]
         assert len(cluster.leaders()) == 1
 
     run_virtual(main())
--- /dev/null
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -0,0 +1,254 @@
+"""Tests of the data directory: crashes, damage, failed operations."""
+
+import asyncio
+import errno
+import tempfile
+
+import attrs
+
+from toucanwood.consensus import DamagedStorageError, FileDisk, Storage, StorageError
+from toucanwood.consensus._log import Entry
+from toucanwood.consensus._members import Member, MemberRole, Members
+from toucanwood.consensus._storage import HardState, Snapshot
+from toucanwood.consensus.testing import DISK_STEPS, DiskCrashError, FakeDisk
+from toucanwood.utils import run_virtual
+
+MEMBERS = Members({"a": Member("x", MemberRole.VOTER)})
+
+
+def build_entry(index, term=1):
+    return Entry(index, term, 0, b"command %d" % index)
+
+
+async def open_storage(disk):
+    storage = Storage(disk)
+    snapshot = await storage.open()
+    return storage, snapshot
+
+
+async def fill(storage, first, last, term=1):
+    for index in range(first, last + 1):
+        storage.append(build_entry(index, term))
+    await storage.sync()
+
+
+async def expect_damage(disk, text):
+    try:
+        await open_storage(disk)
+    except DamagedStorageError as error:
+        assert text in str(error), error
+    else:
+        raise AssertionError("damage was not detected")
+
+
+def test_content_survives_a_restart_on_the_file_system():
+    # Guards against a file format that cannot be read back.
+    async def main(directory):
+        storage, _ = await open_storage(FileDisk(directory))
+        await storage.save_state(HardState(3, "b", storage.state.incarnation))
+        await fill(storage, 1, 10)
+        storage.truncate_from(8)
+        await fill(storage, 8, 9, term=2)
+        await storage.save_snapshot(Snapshot(5, 1, MEMBERS, b"five"), keep=2)
+        await storage.close()
+        again, snapshot = await open_storage(FileDisk(directory))
+        assert again.state == storage.state
+        assert snapshot == Snapshot(5, 1, MEMBERS, b"five")
+        assert again.log.base_index == 3
+        assert again.log.entries == storage.log.entries
+        assert again.synced_index == 9
+
+    with tempfile.TemporaryDirectory() as directory:
+        asyncio.run(main(directory))
+
+
+def test_torn_tail_is_truncated_at_every_length():
+    # Guards against a refused start, or a lost synced entry, after a torn write.
+    async def main():
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        await fill(storage, 1, 2)
+        synced = len(disk.read("log"))
+        await fill(storage, 3, 3)
+        whole = disk.read("log")
+        for size in range(synced, len(whole)):
+            disk.cut("log", size)
+            again, _ = await open_storage(disk)
+            assert again.log.last_index == 2
+            assert len(disk.read("log")) == synced
+            await fill(again, 3, 3)
+            assert disk.read("log") == whole
+
+    run_virtual(main())
+
+
+def test_damage_before_the_last_sync_refuses_to_start():
+    # Guards against entries that are dropped silently because one byte changed.
+    async def main():
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        await fill(storage, 1, 3)
+        synced = len(disk.read("log"))
+        await fill(storage, 4, 4)
+        for offset in range(synced):
+            disk.corrupt("log", offset)
+            await expect_damage(disk, "file log")
+            disk.corrupt("log", offset)
+
+    run_virtual(main())
+
+
+def test_damage_in_a_log_that_was_just_rewritten_refuses_to_start():
+    # Guards against damage behind a snapshot that passes as a torn tail.
+    async def main():
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        await fill(storage, 1, 5)
+        await storage.save_snapshot(Snapshot(2, 1, MEMBERS, b"two"), keep=0)
+        size = len(disk.read("log"))
+        for offset in range(size):
+            disk.corrupt("log", offset)
+            await expect_damage(disk, "file log is damaged")
+            disk.corrupt("log", offset)
+        disk.cut("log", size - 1)
+        await expect_damage(disk, "file log is damaged")
+
+    run_virtual(main())
+
+
+def test_damaged_or_missing_files_refuse_to_start():
+    # Guards against a replica that votes twice because its state was reset.
+    async def main():
+        for name in ("state", "snapshot"):
+            disk = await build_used_disk()
+            for offset in range(len(disk.read(name))):
+                disk.corrupt(name, offset)
+                await expect_damage(disk, f"file {name} is damaged")
+                disk.corrupt(name, offset)
+        for name, text in (
+            ("state", "file state is missing"),
+            ("log", "file log is missing"),
+            ("snapshot", "snapshot must reach index 4"),
+        ):
+            disk = await build_used_disk()
+            disk.remove(name)
+            await expect_damage(disk, text)
+
+    run_virtual(main())
+
+
+async def build_used_disk():
+    disk = FakeDisk(1)
+    storage, _ = await open_storage(disk)
+    await fill(storage, 1, 5)
+    await storage.save_snapshot(Snapshot(4, 1, MEMBERS, b"four"), keep=0)
+    await fill(storage, 6, 6)
+    return disk
+
+
+@attrs.define
+class Durable:
+    """Hold what the script was told to be durable."""
+
+    state: HardState | None = None
+    attempted_state: HardState | None = None
+    last_index: int = 0
+    snapshot_index: int = 0
+
+
+async def run_script(disk, durable):
+    """Use every operation of the storage and note what it confirmed."""
+    storage, _ = await open_storage(disk)
+    durable.state = storage.state
+    for term in range(1, 5):
+        state = HardState(term, "a", storage.state.incarnation)
+        durable.attempted_state = state
+        await storage.save_state(state)
+        durable.state = state
+        first = storage.log.last_index + 1
+        await fill(storage, first, first + 3, term)
+        durable.last_index = storage.log.last_index
+        index = storage.log.last_index - 1
+        await storage.save_snapshot(Snapshot(index, term, MEMBERS, b"s"), keep=2)
+        durable.snapshot_index = index
+        last = storage.log.last_index
+        durable.last_index = last - 1
+        storage.truncate_from(last)
+        await fill(storage, last, last, term + 1)
+        durable.last_index = last
+
+
+async def check_durable(disk, durable):
+    storage, snapshot = await open_storage(disk)
+    if durable.state is not None:
+        assert storage.state in (durable.state, durable.attempted_state)
+    assert storage.log.last_index >= durable.last_index
+    assert (snapshot.index if snapshot else 0) >= durable.snapshot_index
+    for entry in storage.log.entries:
+        assert entry.data == b"command %d" % entry.index
+
+
+def test_a_crash_at_every_disk_step_keeps_what_was_confirmed():
+    # Guards against a step order that loses confirmed content, and a storage that
+    # goes on after a failed write or fsync.
+    async def main():
+        clean = FakeDisk(1)
+        await run_script(clean, Durable())
+        assert set(clean.steps) >= set(DISK_STEPS) - {"truncate"}
+        errors = (DiskCrashError, lambda: OSError(errno.ENOSPC, "disk full"))
+        for position in range(1, len(clean.steps) + 1):
+            for error in errors:
+                for seed in range(4):
+                    await fail_script(seed, position, error())
+
+    run_virtual(main())
+
+
+async def fail_script(seed, position, error):
+    disk = FakeDisk(seed)
+    disk.fail_at("any", error, countdown=position)
+    durable = Durable()
+    try:
+        await run_script(disk, durable)
+    except StorageError:
+        await check_durable(disk.restart(), durable)
+    else:
+        raise AssertionError(f"step {position} did not fail")
+
+
+def test_no_operation_succeeds_after_a_failed_fsync():
+    # Guards against a retried fsync that reports success for dropped pages.
+    async def main():
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        reasons = []
+        storage.on_failure = reasons.append
+        disk.fail_at("sync", OSError(errno.EIO, "input/output error"))
+        for _ in range(3):
+            try:
+                await fill(storage, storage.log.last_index + 1, 3)
+            except StorageError as error:
+                assert "input/output error" in str(error)
+            else:
+                raise AssertionError("sync succeeded after a failed fsync")
+        assert len(reasons) == 1
+        assert storage.synced_index == 0
+
+    run_virtual(main())
+
+
+def test_waiting_callers_share_one_fsync():
+    # Guards against one fsync for each proposal.
+    async def main():
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        before = disk.steps.count("sync")
+        waiters = []
+        for index in range(1, 101):
+            storage.append(build_entry(index))
+            waiters.append(asyncio.create_task(storage.sync()))
+        await asyncio.gather(*waiters)
+        assert storage.synced_index == 100
+        assert disk.steps.count("sync") - before <= 2
+
+    run_virtual(main())
