Let the virtual clock reach deadlines less than a nanosecond away

Cause: the dispatcher's fuzz test did not end in 600 s on main. Ruled out: the new TaskGroup.stop, which was not on any stack. Change: the virtual loop has a clock resolution of 0. Result: a test that failed before passes.

--- a/toucanwood/utils/_virtual_time.py
+++ b/toucanwood/utils/_virtual_time.py
@@ -33,6 +33,9 @@
     def __init__(self) -> None:
         self._jumping_selector = _JumpingSelector()
         super().__init__(self._jumping_selector)
+        # The default fires timers up to 1 ns early without moving the virtual clock, so
+        # that code which waits until a deadline would repeat the wait for ever.
+        self._clock_resolution = 0.0
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
--- /dev/null
+++ b/toucanwood/utils/tests/test_virtual_time.py
@@ -0,0 +1,22 @@
+"""Tests of the virtual-time event loop."""
+
+import asyncio
+
+from toucanwood.utils import run_virtual
+
+MAX_ROUNDS = 10
+
+
+def test_the_clock_reaches_a_deadline_that_is_less_than_a_nanosecond_away():
+    # Guards against a loop that fires timers early and never reaches the deadline.
+    async def main():
+        loop = asyncio.get_running_loop()
+        deadline = 4.5
+        await asyncio.sleep(deadline - 9e-15)
+        rounds = 0
+        while loop.time() < deadline and rounds < MAX_ROUNDS:
+            await asyncio.sleep(deadline - loop.time())
+            rounds += 1
+        assert loop.time() >= deadline
+
+    run_virtual(main())
