--- /dev/null
+++ b/toucanwood/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,196 @@
+"""Tests of single rules of the dispatcher."""
+
+from collections import Counter
+
+from returns.result import Success
+
+from toucanwood.dispatch import Announcement, Outcome
+from toucanwood.dispatch._queue import FairQueue, Waiter
+from toucanwood.dispatch._target import LeaseKey, OwnedLease, Target
+from toucanwood.dispatch.tests.world import World
+from toucanwood.peering.testing import LinkFaults
+
+
+def build_target(now=0.0, **fields):
+    announcement = Announcement(
+        id="t", service="s", address="x", data_centre="n1", slots=8, **fields
+    )
+    return Target(
+        announcement=announcement, region="norte", renewed_at=now, is_open=True
+    )
+
+
+def acquire(world, name, **options):
+    async def main():
+        deadline = world.loop.time() + options.pop("patience", 1.0)
+        return await world.dispatchers[name].acquire(
+            "s", "x", "norte", deadline=deadline, **options
+        )
+
+    return world.run(main())
+
+
+def release(world, name, lease, outcome=Outcome.OK):
+    async def main():
+        world.dispatchers[name].release(lease, outcome)
+
+    world.run(main())
+
+
+def build_world(*targets):
+    world = World()
+    for target in targets:
+        world.add_target(*target)
+    world.wait(4.0)
+    return world
+
+
+def test_waiter_is_served_at_once_when_a_slot_is_released():
+    # Guards against waiters that are only served by the next periodic check.
+    world = build_world(("t1", "n1", 1, "a"))
+    lease = acquire(world, "a").unwrap()
+    world.wait(0.013)
+    world.request("b", "y")
+    world.wait(0.1)
+    release(world, "a", lease)
+    world.wait(0.002)
+    assert len(world.targets["t1"].running) == 1
+    world.close()
+
+
+def test_lost_release_is_repeated():
+    # Guards against a slot that stays taken until the deadline of a long request.
+    world = build_world(("t1", "n1", 1, "a"))
+    lease = acquire(world, "b", patience=600.0).unwrap()
+    world.network.set_faults("b", "a", LinkFaults(drop=1.0))
+    release(world, "b", lease)
+    world.wait(1.5)
+    assert world.count_leases() == 1
+    world.network.heal()
+    world.wait(2.1)
+    assert world.count_leases() == 0
+    world.close()
+
+
+def test_dead_entry_frees_its_slots_after_six_seconds():
+    # Guards against slots that an entry takes with it for a whole long deadline.
+    world = build_world(("t1", "n1", 2, "a"))
+    acquire(world, "b", patience=600.0).unwrap()
+    world.wait(2.0)
+    world.crash("b")
+    world.wait(4.0)
+    assert world.count_leases() == 1
+    world.wait(3.2)
+    assert world.count_leases() == 0
+    world.close()
+
+
+def test_lease_is_lost_before_the_owner_frees_it():
+    # Guards against an isolated holder that goes on while its slot is given away.
+    world = build_world(("t1", "n1", 1, "a"))
+    lease = acquire(world, "b", patience=600.0).unwrap()
+    world.network.partition({"b"}, {"a", "c"})
+    lost_at = freed_at = None
+    for _ in range(200):
+        world.wait(0.05)
+        if lost_at is None and lease.lost.is_set():
+            lost_at = world.loop.time()
+        if freed_at is None and not world.count_leases():
+            freed_at = world.loop.time()
+    assert lost_at + 0.5 < freed_at
+    world.close()
+
+
+def test_leave_stops_new_work_at_once_from_any_instance():
+    # Guards against a leaving target that gets work until its renewal runs out.
+    world = build_world(("t1", "n1", 2, "a"))
+    running = acquire(world, "b").unwrap()
+    world.leave("t1", "c")
+    world.wait(0.1)
+    refusal = acquire(world, "b", patience=0.5).failure()
+    assert refusal.code == "no_capacity" and refusal.is_not_run
+    assert world.count_leases() == 1 and not running.lost.is_set()
+
+    # A renewal that was sent before the leave must not bring the target back.
+    world.targets["t1"].is_announcing = True
+    world.wait(1.0)
+    assert not isinstance(acquire(world, "b", patience=0.2), Success)
+    world.close()
+
+
+def test_excluded_target_is_not_used():
+    # Guards against a retry that goes to the target that has just failed.
+    world = build_world(("t1", "n1", 2, "a"), ("t2", "n1", 2, "a"))
+    chosen = {acquire(world, "b", exclude=["t1"]).unwrap().target_id for _ in range(2)}
+    assert chosen == {"t2"}
+    world.close()
+
+
+def test_flooding_organisation_leaves_the_others_their_share():
+    # Guards against one organisation that takes the slots of the others.
+    world = build_world(("t1", "n1", 3, "a"), ("t2", "n2", 3, "b"))
+    for step in range(120):
+        if step % 2 == 0:
+            for name in "abc":
+                for _ in range(4):
+                    world.request(name, "flood", duration=0.3, deadline=1.0)
+        for name in "ab":
+            world.request(name, "small", duration=0.3, deadline=1.0)
+        world.wait(0.1)
+    world.wait(2.0)
+    counts = Counter(world.results)
+    served, refused = counts["small", True], counts["small", False]
+    # 20 requests/s of 0.3 s use 6 slots; the fair share is 3 slots, or 10 requests/s.
+    assert served >= 0.9 * 120, (served, refused)
+    total = served + counts["flood", True]
+    assert total >= 0.9 * 12 * 6 / 0.3, total
+    world.close()
+
+
+def test_full_queue_drops_the_longest_organisation():
+    # Guards against a flood that fills the queue and shuts out everybody else.
+    queue = FairQueue(limit=4)
+
+    def add(number, organisation):
+        key = LeaseKey("h", 1, number)
+        return queue.add(Waiter(key, "s", organisation, "norte", 9.0, 9.0))
+
+    assert [add(number, "flood") for number in range(4)] == [None] * 4
+    assert add(4, "small").key.number == 3
+    assert add(5, "flood").key.number == 5
+    order = [w.organisation for w in queue.iterate_fairly({"flood": 2, "small": 1}.get)]
+    assert order == ["small", "flood", "flood", "flood"]
+
+
+def test_new_target_gets_work_gradually():
+    # Guards against a cold target that gets its full load at once.
+    target = build_target()
+    target.ramp_from = 0.0
+    limits = [target.limit(now) for now in (0.0, 2.5, 5.0)]
+    assert limits == [2, 5, 8]
+
+
+def test_fast_failing_target_gets_less():
+    # Guards against a target that attracts requests because it fails in 1 ms.
+    world = build_world(("t1", "n1", 4, "a"), ("t2", "n1", 4, "a"))
+    counts = Counter()
+    for _ in range(300):
+        lease = acquire(world, "b").unwrap()
+        counts[lease.target_id] += 1
+        is_bad = lease.target_id == "t1"
+        world.wait(0.001 if is_bad else 0.02)
+        release(world, "b", lease, Outcome.FAILED if is_bad else Outcome.OK)
+    assert counts["t1"] <= 0.1 * 300, counts
+    world.close()
+
+
+def test_misreported_load_is_flagged():
+    # Guards against a misleading load report that nobody notices.
+    for load, expected in ((0.0, True), (0.9, False), (None, False), (5.0, True)):
+        target = build_target(load=load)
+        for number in range(7):
+            key = LeaseKey("h", 1, number)
+            target.start(OwnedLease(key, "x", 9.0, 0.0, 0.0), 0.0)
+        for step in range(6):
+            target.renew(target.announcement, float(step))
+        assert target.dump(6.0)["is_load_misreported"] is expected, load
