Serve organisations below the max-min level in the order of arrival

Cause: serving always the organisation with the fewest slots in use made the largest one wait, also where it was within its share.

--- a/toucanwood/dispatch/_directory.py
+++ b/toucanwood/dispatch/_directory.py
@@ -112,6 +112,24 @@
             if known.share.service == service and known.owner != self._instance_id
         )
 
+    def list_usage(self, service: str, region: str) -> dict[str, int]:
+        """Return the slots in use at the other owners in a region by organisation."""
+        usage: dict[str, int] = {}
+        for known in self._list_usable(service, region):
+            if known.owner == self._instance_id:
+                continue
+            for organisation, count in known.share.usage.items():
+                usage[organisation] = usage.get(organisation, 0) + count
+        return usage
+
+    def count_other_slots(self, service: str, region: str) -> int:
+        """Return the slots of the other owners in a region."""
+        return sum(
+            known.share.slots
+            for known in self._list_usable(service, region)
+            if known.owner != self._instance_id
+        )
+
     def count_slots(self, service: str, region: str) -> int:
         """Return the slots of a service in a region."""
         return sum(known.share.slots for known in self._list_usable(service, region))
--- a/toucanwood/dispatch/_dispatcher.py
+++ b/toucanwood/dispatch/_dispatcher.py
@@ -86,7 +86,7 @@
         self._service = SlotService(
             transport=transport,
             incarnation=incarnation,
-            remote_usage=self._directory.count_usage,
+            fleet=self._directory,
             is_isolated=self._is_isolated,
             is_drained=is_drained,
             selector=selector,
--- a/toucanwood/dispatch/_owner.py
+++ b/toucanwood/dispatch/_owner.py
@@ -1,11 +1,13 @@
 """The slots of the targets that announced to one instance."""
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
+from toucanwood.dispatch._fairness import Claim, find_level
 from toucanwood.dispatch._queue import FairQueue, Waiter
 from toucanwood.dispatch._registry import Share, TargetRegistry
 from toucanwood.dispatch._selection import LeastBusy, Selector
@@ -53,7 +55,19 @@
     retry_after: float = 0.0
 
 
-Usage = Callable[[str, str], int]
+class FleetUsage(Protocol):
+    """Tell what the other owners have in use."""
+
+    def count_usage(self, service: str, organisation: str) -> int:
+        """Return the slots of an organisation in use at the other owners."""
+
+    def list_usage(self, service: str, region: str) -> Mapping[str, int]:
+        """Return the slots in use at the other owners in a region by organisation."""
+
+    def count_other_slots(self, service: str, region: str) -> int:
+        """Return the slots of the other owners in a region."""
+
+
 OnDecision = Callable[[LeaseKey, Decision], None]
 
 
@@ -64,19 +78,18 @@
 class SlotOwner:
     """Grant slots so that no target ever has more leases than slots.
 
-    `remote_usage(service, organisation)` returns the slots in use at other owners.
     `on_decision` hears what became of a waiter.
     """
 
     def __init__(
         self,
         *,
-        remote_usage: Usage,
+        fleet: FleetUsage,
         on_decision: OnDecision,
         selector: Selector | None = None,
         is_drained: Callable[[str], bool] = _is_never_drained,
     ) -> None:
-        self._remote_usage = remote_usage
+        self._fleet = fleet
         self._on_decision = on_decision
         self._selector = selector or LeastBusy()
         self._registry = TargetRegistry(is_drained=is_drained)
@@ -271,14 +284,37 @@
 
         def count_fleet_usage(organisation: str) -> int:
             local = self._registry.count_usage(service, organisation)
-            return local + self._remote_usage(service, organisation)
+            return local + self._fleet.count_usage(service, organisation)
 
-        for waiter in queue.iterate_fairly(count_fleet_usage):
+        level = self._find_level(queue, service, region, count_fleet_usage)
+        for waiter in queue.iterate_fairly(count_fleet_usage, level):
             allowed = [target for target in free if target.id not in waiter.exclude]
             if allowed and not waiter.is_over(now):
                 return waiter, self._selector.select(allowed, now)
         return None
 
+    def _find_level(
+        self,
+        queue: FairQueue,
+        service: str,
+        region: str,
+        count_fleet_usage: Callable[[str], int],
+    ) -> float:
+        if queue.count_organisations() == 1:
+            return math.inf
+        remote = self._fleet.list_usage(service, region)
+        targets = self._registry.list_usable(service, region)
+        own_slots = sum(target.slots for target in targets)
+        slots = own_slots + self._fleet.count_other_slots(service, region)
+        # The other owners of the region are taken to have queues like this one.
+        scale = slots / max(own_slots, 1)
+        claims = []
+        for name in {*remote, *queue.list_organisations()}:
+            here = self._registry.count_usage(service, name) + remote.get(name, 0)
+            demand = here + queue.count(name) * scale
+            claims.append(Claim(count_fleet_usage(name) - here, demand))
+        return find_level(claims, slots)
+
     def _withdraw(self, key: LeaseKey) -> None:
         waiter = self._waiters.pop(key, None)
         if waiter is not None:
--- a/toucanwood/dispatch/_queue.py
+++ b/toucanwood/dispatch/_queue.py
@@ -1,7 +1,8 @@
 """The fair queue of one service and region at one owner."""
 
+import heapq
 import itertools
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
 
 import attrs
@@ -24,6 +25,7 @@
     deadline: float
     poll_until: float
     exclude: frozenset[str] = frozenset()
+    order: int = 0
 
     def is_over(self, now: float) -> bool:
         """Return whether the request can no longer start."""
@@ -31,12 +33,12 @@
 
 
 class FairQueue:
-    """Queue by organisation and serve the one with the fewest slots in use."""
+    """Queue by organisation and serve fairly."""
 
     def __init__(self, *, limit: int = MAX_WAITERS) -> None:
         self._limit = limit
         self._queues: dict[str, deque[Waiter]] = {}
-        self._turns: dict[str, int] = {}
+        self._turns: dict[str, int] = defaultdict(int)
         self._counter = itertools.count(1)
 
     def __len__(self) -> int:
@@ -59,6 +61,7 @@
         The newest waiter of the organisation with the longest queue is dropped, so that
         an organisation that floods the queue cannot push out the others.
         """
+        waiter.order = next(self._counter)
         self._queues.setdefault(waiter.organisation, deque()).append(waiter)
         if len(self) <= self._limit:
             return None
@@ -76,15 +79,25 @@
         if not queue:
             del self._queues[waiter.organisation]
 
-    def iterate_fairly(self, usage: Callable[[str], int]) -> Iterator[Waiter]:
+    def list_organisations(self) -> list[str]:
+        """Return the organisations that wait."""
+        return list(self._queues)
+
+    def iterate_fairly(
+        self, usage: Callable[[str], int], level: float
+    ) -> Iterator[Waiter]:
         """Yield the waiters in the order in which they should be served.
 
-        The order is by slots in use; organisations with equal use take turns.
+        Organisations with fewer slots in use than the fair level come first, in the
+        order of arrival: serving always the smallest one would delay a large one that
+        is within its share. The others follow by slots in use.
         """
-        names = sorted(
-            self._queues, key=lambda name: (usage(name), self._turns.get(name, 0))
+        below = [name for name in self._queues if usage(name) < level]
+        yield from heapq.merge(
+            *(self._queues[name] for name in below), key=lambda waiter: waiter.order
         )
-        for name in names:
+        above = [name for name in self._queues if usage(name) >= level]
+        for name in sorted(above, key=lambda name: (usage(name), self._turns[name])):
             yield from self._queues[name]
 
     def take(self, waiter: Waiter) -> None:
--- a/toucanwood/dispatch/_service.py
+++ b/toucanwood/dispatch/_service.py
@@ -10,7 +10,7 @@
     ReleaseSlot,
     SlotReply,
 )
-from toucanwood.dispatch._owner import Decision, SlotOwner, Status, Usage
+from toucanwood.dispatch._owner import Decision, FleetUsage, SlotOwner, Status
 from toucanwood.dispatch._queue import Waiter
 from toucanwood.dispatch._selection import Selector
 from toucanwood.dispatch._target import LeaseKey, Outcome
@@ -27,13 +27,13 @@
         *,
         transport: Transport,
         incarnation: int,
-        remote_usage: Usage,
+        fleet: FleetUsage,
         is_isolated: Callable[[], bool],
         is_drained: Callable[[str], bool],
         selector: Selector | None,
     ) -> None:
         self.owner = SlotOwner(
-            remote_usage=remote_usage,
+            fleet=fleet,
             on_decision=self._decide,
             selector=selector,
             is_drained=is_drained,
--- a/toucanwood/dispatch/tests/test_dispatcher.py
+++ b/toucanwood/dispatch/tests/test_dispatcher.py
@@ -1,10 +1,12 @@
 """Tests of single rules of the dispatcher."""
 
+import math
 from collections import Counter
 
 from returns.result import Success
 
 from toucanwood.dispatch import Announcement, Outcome
+from toucanwood.dispatch._fairness import Claim, find_level
 from toucanwood.dispatch._queue import FairQueue, Waiter
 from toucanwood.dispatch._target import LeaseKey, OwnedLease, Target
 from toucanwood.dispatch.tests.world import World
@@ -158,8 +160,23 @@
     assert [add(number, "flood") for number in range(4)] == [None] * 4
     assert add(4, "small").key.number == 3
     assert add(5, "flood").key.number == 5
-    order = [w.organisation for w in queue.iterate_fairly({"flood": 2, "small": 1}.get)]
+    usage = {"flood": 2, "small": 1}.get
+    order = [waiter.organisation for waiter in queue.iterate_fairly(usage, 2)]
     assert order == ["small", "flood", "flood", "flood"]
+    order = [waiter.organisation for waiter in queue.iterate_fairly(usage, 3)]
+    assert order == ["flood", "flood", "flood", "small"]
+
+
+def test_fair_level_gives_small_demands_in_full():
+    # Guards against a large organisation that waits although the region has room, and
+    # against one that gets a second share because it already uses slots elsewhere.
+    def level(capacity, *claims):
+        return find_level([Claim(*claim) for claim in claims], capacity)
+
+    assert level(12, (0, 2), (0, 10)) == math.inf or level(12, (0, 2), (0, 10)) == 10
+    assert level(10, (0, 2), (0, 50), (0, 50)) == 4
+    assert level(10, (6, 50), (0, 50)) == 8
+    assert level(4, (6, 50), (0, 50)) == 4
 
 
 def test_new_target_gets_work_gradually():
