--- a/toucanwood/dispatch/_owner.py
+++ b/toucanwood/dispatch/_owner.py
@@ -244,6 +244,7 @@
 
     def _enqueue(self, waiter: Waiter, wait: float, now: float) -> Decision | None:
         queue = self._find_queue(waiter)
+        waiter.needed = self._find_needed(waiter, now)
         if wait > 0 and self._is_hopeless(waiter, queue, now):
             return Decision(Status.LATE, retry_after=self._hint(waiter.service))
         self._waiters[waiter.key] = waiter
@@ -345,6 +346,12 @@
         wait = self._estimate_wait(waiter, queue)
         return wait > EARLY_REFUSAL_FACTOR * (waiter.deadline - now)
 
+    def _find_needed(self, waiter: Waiter, now: float) -> float:
+        """Return the time to reserve for the request, at most half of what is left."""
+        if self._hold_counts.get(waiter.service, 0) < MIN_OBSERVATIONS:
+            return 0.0
+        return min(self._hold_times[waiter.service], (waiter.deadline - now) / 2)
+
     def _estimate_wait(self, waiter: Waiter, queue: FairQueue) -> float:
         targets = self._registry.list_usable(waiter.service, waiter.region)
         slots = sum(target.slots for target in targets)
--- a/toucanwood/dispatch/_queue.py
+++ b/toucanwood/dispatch/_queue.py
@@ -26,10 +26,13 @@
     poll_until: float
     exclude: frozenset[str] = frozenset()
     order: int = 0
+    # Time in s that the request should have left when it starts.
+    needed: float = 0.0
 
     def is_over(self, now: float) -> bool:
         """Return whether the request can no longer start."""
-        return now >= self.deadline or now >= self.poll_until + POLL_GRACE_S
+        latest_start = self.deadline - self.needed
+        return now >= min(latest_start, self.poll_until + POLL_GRACE_S)
 
 
 class FairQueue:
--- a/toucanwood/dispatch/tests/world.py
+++ b/toucanwood/dispatch/tests/world.py
@@ -89,6 +89,10 @@
             task.cancel()
         self.loop.create_task(dispatcher.stop())
 
+    def cancel_requests(self):
+        for task in [task for tasks in self.tasks.values() for task in tasks]:
+            task.cancel()
+
     def add_target(self, name, data_centre, slots, instance):
         target = FakeTarget(name, data_centre, slots, instance)
         self.targets[name] = target
@@ -155,7 +159,7 @@
             pass
         finally:
             target.running.discard(key)
-        dispatcher.release(lease, Outcome.OK)
+            dispatcher.release(lease, Outcome.OK)
 
     def _begin(self, target, key):
         now = self.loop.time()
