Leave a bad replica after 1.5 s and each further one after one poll

Cause: the sum of three poll intervals rounds below 1.5 s and cost a fourth poll, at each replica. With three answering but isolated replicas in a row, a view reached an age of 4.11 s and refused keys.

Change: a replica without a good answer so far gets one poll; the comparison allows for rounding. A catalog that is restored in place is shown to forget its kept changes.

--- a/toucanwood/feed/_subscriber.py
+++ b/toucanwood/feed/_subscriber.py
@@ -29,9 +29,11 @@
 PART_TIMEOUT_S = 1.5
 # Without a good answer for so long, the subscriber turns to the next replica.
 PATIENCE_S = 1.5
-# A replica that has not yet given a good answer gets less time: three bad replicas
-# in a row then cost 2.5 s of the 4 s for which keys stay valid.
-NEW_REPLICA_PATIENCE_S = 0.5
+# A replica that has not yet given a good answer gets one poll: three bad replicas in a
+# row then cost 2.5 s of the 4 s for which keys stay valid.
+NEW_REPLICA_PATIENCE_S = 0.0
+# Without it, a sum of three poll intervals that rounds below 1.5 s costs a fourth poll.
+ROUNDING_S = 0.01
 # An answer is good if its proof leaves time for further polls.
 MAX_GOOD_LEASE_AGE_S = 1.5
 # After so long on a substitute, the preferred replica is tried again.
@@ -103,7 +105,7 @@
             self._replica = None
         elif self._replica not in ranked:
             self._switch(ranked[0], now)
-        elif now - self._last_good >= self._patience:
+        elif now - self._last_good >= self._patience - ROUNDING_S:
             following = ranked.index(self._replica) + 1
             self._switch(ranked[following % len(ranked)], now)
         elif self._replica != ranked[0] and now - self._chosen >= RETURN_INTERVAL_S:
--- a/toucanwood/state/tests/test_catalog.py
+++ b/toucanwood/state/tests/test_catalog.py
@@ -236,7 +236,10 @@
             copy.apply_change(msgpack.unpackb(change))
         assert copy == catalog.published
     assert catalog.changes_since(99) == []
-    assert restore(catalog).changes_since(0) is None
+    snapshot = catalog.snapshot()
+    issue(catalog, key_id="key-2", secret="t")
+    catalog.restore(snapshot)
+    assert catalog.changes_since(catalog.version - 1) is None
 
 
 def test_patch_of_a_long_list_is_short():
