--- /dev/null
+++ b/toucanwood/dispatch/_owner.py
@@ -0,0 +1,358 @@
+"""The slots of the targets that announced to one instance."""
+
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from toucanwood.dispatch._queue import FairQueue, Waiter
+from toucanwood.dispatch._registry import Share, TargetRegistry
+from toucanwood.dispatch._selection import LeastBusy, Selector
+from toucanwood.dispatch._target import (
+    TARGET_LEASE_S,
+    Announcement,
+    LeaseKey,
+    Outcome,
+    OwnedLease,
+    Target,
+)
+
+# Holders give up a lease 5 s after the owner last confirmed it. The owner waits longer.
+HOLDER_TIMEOUT_S = 6.0
+# Longest time in s between the grant of a slot and the start of the request, so that no
+# request starts 2 s after its target left.
+START_LIMIT_S = 1.5
+# Smoothed time in s that a request uses a slot, before any has been observed.
+FIRST_HOLD_TIME_S = 0.1
+HOLD_TIME_SMOOTHING = 0.05
+MIN_RETRY_AFTER_S = 1.0
+# A request is refused before its deadline only if its estimated wait is this many times
+# too long, because one long request can raise the mean far above the usual time.
+EARLY_REFUSAL_FACTOR = 2.0
+MIN_OBSERVATIONS = 16
+
+
+class Status(Enum):
+    """Answer a request for a slot."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    FULL = "full"
+    LATE = "late"
+
+
+@attrs.frozen
+class Decision:
+    """Tell the holder which target to use and for how long the grant is valid."""
+
+    status: Status
+    target_id: str = ""
+    address: str = ""
+    valid_for: float = 0.0
+    retry_after: float = 0.0
+
+
+Usage = Callable[[str, str], int]
+OnDecision = Callable[[LeaseKey, Decision], None]
+
+
+def _is_never_drained(data_centre: str) -> bool:
+    return False
+
+
+class SlotOwner:
+    """Grant slots so that no target ever has more leases than slots.
+
+    `remote_usage(service, organisation)` returns the slots in use at other owners.
+    `on_decision` hears what became of a waiter.
+    """
+
+    def __init__(
+        self,
+        *,
+        remote_usage: Usage,
+        on_decision: OnDecision,
+        selector: Selector | None = None,
+        is_drained: Callable[[str], bool] = _is_never_drained,
+    ) -> None:
+        self._remote_usage = remote_usage
+        self._on_decision = on_decision
+        self._selector = selector or LeastBusy()
+        self._registry = TargetRegistry(is_drained=is_drained)
+        self._queues: dict[tuple[str, str], FairQueue] = {}
+        self._waiters: dict[LeaseKey, Waiter] = {}
+        self._incarnations: dict[str, int] = {}
+        self._hold_times: dict[str, float] = {}
+        self._hold_counts: dict[str, int] = {}
+
+    # Targets
+
+    def get_target(self, target_id: str) -> Target | None:
+        """Return a target by its id."""
+        return self._registry.get(target_id)
+
+    def announce(self, announcement: Announcement, region: str, now: float) -> bool:
+        """Add or renew a target; return whether its ownership must be claimed first."""
+        is_new = self._registry.announce(announcement, region, now)
+        self._pump(announcement.service, region, now)
+        return is_new
+
+    def adopt(self, target_id: str, leases: Iterable[OwnedLease], now: float) -> None:
+        """Count leases that an earlier owner granted."""
+        target = self._registry.get(target_id)
+        if target is None:
+            return
+        for lease in leases:
+            self._registry.count(target, lease, now)
+
+    def open(self, target_id: str, *, ramp: bool, now: float) -> None:
+        """Start granting slots of a claimed target."""
+        target = self._registry.get(target_id)
+        if target is None or target.is_open:
+            return
+        target.is_open = True
+        target.ramp_from = now if ramp else target.ramp_from
+        self._pump(*target.place, now)
+
+    def give_up(self, target_id: str) -> list[OwnedLease] | None:
+        """Stop owning a target and return its leases; None if it is not owned."""
+        return self._registry.remove(target_id)
+
+    def has_just_left(self, target_id: str, now: float) -> bool:
+        """Return whether an announcement may have been sent before the leave."""
+        return self._registry.has_just_left(target_id, now)
+
+    def leave(self, target_id: str, now: float) -> bool:
+        """Grant no further slot of a target; return whether it is owned here."""
+        target = self._registry.get(target_id)
+        if target is None:
+            return False
+        target.left_at = now
+        return True
+
+    # Slots
+
+    def request(self, waiter: Waiter, *, wait: float, now: float) -> Decision | None:
+        """Grant a slot now, refuse it, or queue the request and return None."""
+        if not self._accept(waiter.key):
+            return Decision(Status.LATE)
+        granted = self._registry.find(waiter.key)
+        if granted is not None:
+            return self._describe_grant(granted, waiter.key, now)
+        known = self._waiters.get(waiter.key)
+        if known is not None:
+            known.poll_until = max(known.poll_until, waiter.poll_until)
+            return None
+        return self._enqueue(waiter, wait, now)
+
+    def release(
+        self, key: LeaseKey, outcome: Outcome, duration: float | None, now: float
+    ) -> None:
+        """End a lease, or withdraw its request from the queue.
+
+        `duration` is None where the time in use says nothing about the target.
+        """
+        self._withdraw(key)
+        target = self._registry.end(key)
+        if target is None:
+            return
+        if duration is not None:
+            self._registry.observe(target, outcome, duration)
+            self._note_hold_time(target.announcement.service, duration)
+        self._pump(*target.place, now)
+
+    def remove_holder(self, holder: str, now: float) -> None:
+        """End every lease and wait of an instance that is known to be gone."""
+        for key in self._list_keys(holder):
+            self.release(key, Outcome.CANCELLED, None, now)
+
+    def hold(
+        self,
+        holder: str,
+        incarnation: int,
+        last_number: int,
+        numbers: Iterable[int],
+        now: float,
+        *,
+        is_isolated: bool = False,
+    ) -> list[int]:
+        """Compare the holder's list with the leases here and return those confirmed.
+
+        An isolated owner does not confirm leases on a target that went silent, because
+        the target may have announced to an instance that cannot be reached.
+        """
+        if incarnation < self._incarnations.get(holder, 0):
+            return []
+        self._incarnations[holder] = incarnation
+        held = set(numbers)
+        confirmed = []
+        for key in self._list_keys(holder):
+            is_current = key.incarnation == incarnation
+            if not (is_current and (key.number in held or key.number > last_number)):
+                self.release(key, Outcome.CANCELLED, None, now)
+                continue
+            self._note_heard(key, now)
+            if not (is_isolated and self._is_silent(key, now)):
+                confirmed.append(key.number)
+        return confirmed
+
+    def advance(self, now: float) -> None:
+        """End what is over and serve waiters whose turn depends on the time."""
+        for key in self._registry.list_over(now, HOLDER_TIMEOUT_S):
+            self.release(key, Outcome.CANCELLED, None, now)
+        self._expire_waiters(now)
+        self._registry.forget_silent(now)
+        for service, region in list(self._queues):
+            self._pump(service, region, now)
+
+    # Views
+
+    def count_free(self, service: str, region: str, now: float) -> int:
+        """Return the slots that can be granted now."""
+        return self._registry.count_free(service, region, now)
+
+    def list_shares(self, now: float) -> list[Share]:
+        """Return a summary per service and data centre."""
+        return self._registry.list_shares(self._count_waiting, now)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state of the targets and queues."""
+        queues = {
+            f"{service}@{region}": {
+                "waiting": len(queue),
+                "organisations": queue.count_organisations(),
+            }
+            for (service, region), queue in self._queues.items()
+        }
+        return {"targets": self._registry.dump(now), "queues": queues}
+
+    # Queues
+
+    def _enqueue(self, waiter: Waiter, wait: float, now: float) -> Decision | None:
+        queue = self._find_queue(waiter)
+        if wait > 0 and self._is_hopeless(waiter, queue, now):
+            return Decision(Status.LATE, retry_after=self._hint(waiter.service))
+        self._waiters[waiter.key] = waiter
+        dropped = queue.add(waiter)
+        if dropped is not None:
+            self._drop(dropped, Status.FULL)
+        self._pump(waiter.service, waiter.region, now)
+        target = self._registry.find(waiter.key)
+        if target is not None:
+            return self._describe_grant(target, waiter.key, now)
+        if wait > 0 and waiter.key in self._waiters:
+            return None
+        self._waiters.pop(waiter.key, None)
+        queue.remove(waiter)
+        return Decision(Status.FULL, retry_after=self._hint(waiter.service))
+
+    def _pump(self, service: str, region: str, now: float) -> None:
+        queue = self._queues.get((service, region))
+        if not queue:
+            return
+        while (match := self._match(queue, service, region, now)) is not None:
+            waiter, target = match
+            queue.take(waiter)
+            del self._waiters[waiter.key]
+            lease = OwnedLease(
+                waiter.key, waiter.organisation, waiter.deadline, now, now
+            )
+            self._registry.count(target, lease, now)
+            self._on_decision(waiter.key, self._describe_grant(target, waiter.key, now))
+
+    def _match(
+        self, queue: FairQueue, service: str, region: str, now: float
+    ) -> tuple[Waiter, Target] | None:
+        targets = self._registry.list_usable(service, region)
+        free = [target for target in targets if target.count_free(now) > 0]
+        if not free:
+            return None
+
+        def count_fleet_usage(organisation: str) -> int:
+            local = self._registry.count_usage(service, organisation)
+            return local + self._remote_usage(service, organisation)
+
+        for waiter in queue.iterate_fairly(count_fleet_usage):
+            allowed = [target for target in free if target.id not in waiter.exclude]
+            if allowed and not waiter.is_over(now):
+                return waiter, self._selector.select(allowed, now)
+        return None
+
+    def _withdraw(self, key: LeaseKey) -> None:
+        waiter = self._waiters.pop(key, None)
+        if waiter is not None:
+            self._queues[waiter.service, waiter.region].remove(waiter)
+            self._on_decision(key, Decision(Status.LATE))
+
+    def _expire_waiters(self, now: float) -> None:
+        for queue in self._queues.values():
+            for waiter in queue.expire(now):
+                self._drop(waiter, Status.LATE)
+
+    def _drop(self, waiter: Waiter, status: Status) -> None:
+        del self._waiters[waiter.key]
+        hint = self._hint(waiter.service)
+        self._on_decision(waiter.key, Decision(status, retry_after=hint))
+
+    def _find_queue(self, waiter: Waiter) -> FairQueue:
+        return self._queues.setdefault((waiter.service, waiter.region), FairQueue())
+
+    def _count_waiting(self, service: str, region: str) -> int:
+        return len(self._queues.get((service, region), ()))
+
+    def _is_hopeless(self, waiter: Waiter, queue: FairQueue, now: float) -> bool:
+        """Return whether the request can hardly start before its deadline."""
+        count = self._hold_counts.get(waiter.service, 0)
+        if count < MIN_OBSERVATIONS:
+            return False
+        wait = self._estimate_wait(waiter, queue)
+        return wait > EARLY_REFUSAL_FACTOR * (waiter.deadline - now)
+
+    def _estimate_wait(self, waiter: Waiter, queue: FairQueue) -> float:
+        targets = self._registry.list_usable(waiter.service, waiter.region)
+        slots = sum(target.slots for target in targets)
+        competitors = max(queue.count_organisations(), 1)
+        fair_slots = max(slots / competitors, 1.0)
+        hold_time = self._hold_times.get(waiter.service, FIRST_HOLD_TIME_S)
+        return queue.count(waiter.organisation) * hold_time / fair_slots
+
+    # Leases
+
+    def _accept(self, key: LeaseKey) -> bool:
+        newest = self._incarnations.get(key.holder, 0)
+        self._incarnations[key.holder] = max(newest, key.incarnation)
+        return key.incarnation >= newest
+
+    def _describe_grant(self, target: Target, key: LeaseKey, now: float) -> Decision:
+        granted_at = target.leases[key].granted_at
+        start_by = min(granted_at + START_LIMIT_S, target.renewed_at + TARGET_LEASE_S)
+        return Decision(
+            Status.GRANTED,
+            target_id=target.id,
+            address=target.announcement.address,
+            valid_for=0.0 if target.is_leaving else start_by - now,
+        )
+
+    def _list_keys(self, holder: str) -> list[LeaseKey]:
+        waiting = [key for key in self._waiters if key.holder == holder]
+        return [*self._registry.list_holders_keys(holder), *waiting]
+
+    def _is_silent(self, key: LeaseKey, now: float) -> bool:
+        target = self._registry.find(key)
+        if target is None or target.is_leaving:
+            return False
+        return not target.is_current(now)
+
+    def _note_heard(self, key: LeaseKey, now: float) -> None:
+        target = self._registry.find(key)
+        if target is not None:
+            target.leases[key].heard_at = now
+
+    def _note_hold_time(self, service: str, duration: float) -> None:
+        self._hold_counts[service] = self._hold_counts.get(service, 0) + 1
+        known = self._hold_times.get(service, duration)
+        self._hold_times[service] = known + HOLD_TIME_SMOOTHING * (duration - known)
+
+    def _hint(self, service: str) -> float:
+        return max(MIN_RETRY_AFTER_S, self._hold_times.get(service, FIRST_HOLD_TIME_S))
--- /dev/null
+++ b/toucanwood/entry/_context.py
@@ -0,0 +1,67 @@
+"""What is known of one proxied request while it runs."""
+
+from typing import TypeVar
+
+import attrs
+from aiohttp import web
+from returns.result import Failure, Result
+
+from toucanwood.entry._body import RequestBody
+from toucanwood.entry._client import Progress
+from toucanwood.entry._decisions import Decision
+from toucanwood.entry._routing import Match
+from toucanwood.verdicts import Verdict
+
+T = TypeVar("T")
+
+
+class Refusal(Exception):
+    """Carry the verdict of a request out of the steps that process it."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        super().__init__(verdict.code)
+        self.verdict = verdict
+
+
+def unwrap(result: Result[T, Verdict]) -> T:
+    """Return the value of a success; raise `Refusal` with the verdict otherwise."""
+    if isinstance(result, Failure):
+        raise Refusal(result.failure())
+    return result.unwrap()
+
+
+@attrs.define(kw_only=True)
+class RequestContext:
+    """Hold one request, its limits and whether it may have run so far."""
+
+    request: web.BaseRequest
+    decision: Decision
+    match: Match
+    body: RequestBody
+    deadline: float
+    key: str | None = None
+    organisation: str = ""
+    has_doubt: bool = False
+    progress: Progress | None = None
+    holds_token: bool = False
+    response: web.StreamResponse | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have run, at this very moment.
+
+        The limit on the request can end while an attempt is in progress elsewhere.
+        """
+        progress = self.progress
+        return self.has_doubt or (progress is not None and progress.written)
+
+    def settle(self, *, is_proven_not_run: bool) -> None:
+        """Note the end of an attempt and whether it is proven not to have run."""
+        if not is_proven_not_run and self.may_have_run:
+            self.has_doubt = True
+        self.progress = None
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.decision.idempotent
--- /dev/null
+++ b/toucanwood/operations/_records.py
@@ -0,0 +1,132 @@
+"""Records of operations and the commands that change them."""
+
+import asyncio
+from enum import Enum
+from typing import Any, Protocol
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from toucanwood.state import Answer
+from toucanwood.verdicts import Verdict, doubt, refuse
+
+# Longer bodies are not kept; the record then has only the status.
+MAX_BODY_BYTES = 64 * 1024
+FIRST_SERVER_ERROR_STATUS = 500
+
+
+class Submitter(Protocol):
+    """Submit commands to the catalog.
+
+    A `Success` carries the catalog's answer. A `Failure` with a status under 500 is a
+    decision as well; any other says whether the command may have been committed.
+    """
+
+    async def submit(
+        self, command: dict[str, Any], *, timeout: float
+    ) -> Result[Answer, Verdict]:
+        """Submit one command and wait up to `timeout` seconds."""
+
+
+@attrs.frozen(kw_only=True)
+class Begun:
+    """The caller may dispatch the operation once; it must then report the outcome."""
+
+    organisation: str
+    key: str
+    attempt_id: str
+
+
+@attrs.frozen(kw_only=True)
+class Recorded:
+    """The response to an operation that has run; `body` is None if it was too long."""
+
+    status: int
+    headers: list[list[str]] = attrs.field(factory=list)
+    body: bytes | None = b""
+
+
+class Phase(Enum):
+    """Tell what this entry is doing with an operation."""
+
+    BEGINNING = "beginning"
+    RUNNING = "running"
+    STORING = "storing"
+    RELEASING = "releasing"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """One attempt of this entry; `ended` has its outcome, None if it was released."""
+
+    organisation: str
+    key: str
+    digest: bytes
+    attempt_id: str
+    ended: asyncio.Future[Recorded | Verdict | None]
+    phase: Phase = Phase.BEGINNING
+
+    def end(self, outcome: Recorded | Verdict | None) -> None:
+        """Give the outcome to the waiting resends, once."""
+        if not self.ended.done():
+            self.ended.set_result(outcome)
+
+    def describe(self) -> dict[str, str]:
+        """Return the fields that name the attempt in every command."""
+        return {
+            "organisation": self.organisation,
+            "key": self.key,
+            "attempt_id": self.attempt_id,
+        }
+
+
+def find_decision(result: Result[Answer, Verdict]) -> Answer | Verdict | None:
+    """Return the catalog's decision, or None if it is not known."""
+    if isinstance(result, Success):
+        return result.unwrap()
+    verdict = result.failure()
+    return verdict if verdict.status < FIRST_SERVER_ERROR_STATUS else None
+
+
+def read_begin(
+    decision: Answer | Verdict, attempt: Attempt
+) -> Result[Begun | Recorded, Verdict]:
+    """Translate the decision on `begin_operation`.
+
+    Only the answer "begun", which the catalog gives to one attempt, allows a dispatch.
+    """
+    if isinstance(decision, Verdict):
+        return Failure(decision)
+    if decision.code == "begun":
+        return Success(Begun(**attempt.describe()))
+    if decision.code == "recorded":
+        return Success(Recorded(**decision.values))
+    return Failure(doubt_outcome(attempt.key))
+
+
+def refuse_conflict(key: str) -> Verdict:
+    """Build the verdict for a key that was used with another request."""
+    return refuse(
+        "idempotency_conflict",
+        f"idempotency key {key} was used with another request body",
+        status=422,
+    )
+
+
+def refuse_unavailable(key: str) -> Verdict:
+    """Build the verdict for an operation that could not be recorded."""
+    return refuse(
+        "operation_unavailable",
+        f"the operation with key {key} could not be recorded and was not started",
+        status=503,
+        retry_after=1.0,
+    )
+
+
+def doubt_outcome(key: str) -> Verdict:
+    """Build the verdict for an operation without a known outcome."""
+    return doubt(
+        "operation_in_progress",
+        f"the operation with key {key} was started and its outcome is not known",
+        status=409,
+    )
