--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -103,6 +103,8 @@
         """Wait until everything added so far is durable; callers share one fsync."""
         target = self._appended
         while self._durable < target:
+            if self.failure is not None:
+                raise StorageError(self.failure)
             if self._flush_task is None:
                 self._flush_task = asyncio.create_task(self._flush())
             await asyncio.shield(self._flush_task)
@@ -166,6 +168,9 @@
         try:
             async with self._log_lock:
                 await self._write_buffer()
+        except StorageError:
+            # Every waiting caller raises the recorded failure itself.
+            return
         finally:
             self._flush_task = None
 
@@ -270,7 +275,9 @@
 
     async def _shield(self, main: Coroutine[Any, Any, T]) -> T:
         """Finish a write even if the caller is cancelled."""
-        return await asyncio.shield(asyncio.ensure_future(main))
+        task = asyncio.ensure_future(main)
+        task.add_done_callback(_retrieve_error)
+        return await asyncio.shield(task)
 
     async def _run(self, operation: Callable[[], T]) -> T:
         if self.failure is not None:
@@ -285,6 +292,12 @@
             raise StorageError(self.failure) from error
 
 
+def _retrieve_error(task: "asyncio.Future[Any]") -> None:
+    """Mark an error as seen; `on_failure` has reported it."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _unpack_snapshot(data: bytes) -> Snapshot:
     index, term, members, content = read_single(data, SNAPSHOT_FILE)
     return Snapshot(index, term, Members.unpack(members), content)
