Ignore messages until the data directory has been read

Cause: a replica answered Identify before it had loaded its disk, so a group formed with an empty incarnation and one voter had to be repaired at once.

--- a/toucanwood/consensus/_core.py
+++ b/toucanwood/consensus/_core.py
@@ -80,7 +80,8 @@
         self.timer_reset_at = -math.inf
         self.pending: dict[int, Pending] = {}
         self.failure: asyncio.Future[str] | None = None
-        self.is_closed = False
+        # Messages are ignored until the storage is open.
+        self.is_closed = True
 
     @property
     def term(self) -> int:
@@ -113,6 +114,7 @@
         # restarted, so it must not vote earlier than that lease has ended.
         self.heard_at = self.now()
         self.timer_reset_at = self.heard_at
+        self.is_closed = False
 
     def fail(self, reason: str) -> None:
         """Stop taking part; a failed data directory is never used again."""
