--- a/toucanwood/consensus/tests/test_storage.py
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -82,6 +82,27 @@
     run_virtual(main())
 
 
+def test_a_failed_truncation_of_a_torn_tail_refuses_to_start():
+    # Guards against a start on a log whose torn tail is still there.
+    async def main():
+        for step in ("truncate", "sync"):
+            for error in (DiskCrashError, lambda: OSError(errno.EIO, "failed")):
+                disk = FakeDisk(1)
+                storage, _ = await open_storage(disk)
+                await fill(storage, 1, 3)
+                disk.cut("log", len(disk.read("log")) - 1)
+                disk.fail_at(step, error())
+                try:
+                    await open_storage(disk)
+                except StorageError:
+                    again, _ = await open_storage(disk.restart())
+                    assert again.log.last_index == 2
+                else:
+                    raise AssertionError(f"failed {step} was not reported")
+
+    run_virtual(main())
+
+
 def test_damage_before_the_last_sync_refuses_to_start():
     # Guards against entries that are dropped silently because one byte changed.
     async def main():
