Lock the data directory and end every task on stop

Cause: two processes on one directory could vote twice. A leader sent to a peer that was not ready without any pause. Change: a file lock; the replica is closed before its tasks are cancelled; a pause after a reply from a peer that is not ready; a benchmark of shared syncs.

--- /dev/null
+++ b/benchmarks/consensus.py
@@ -0,0 +1,110 @@
+"""Measure what sharing one fsync between proposals gains.
+
+Run with `python -m benchmarks.consensus`. Three replicas on real files commit
+the same number of commands one after another and then concurrently. The result is the
+ratio of the two rates in this run.
+"""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+from returns.result import Success
+
+from toucanwood.consensus import FileDisk, Replica, Storage
+from toucanwood.peering.testing import FakeNetwork
+
+IDS = ("a", "b", "c")
+COMMANDS = 400
+COMMAND_BYTES = 200
+
+
+class CountingMachine:
+    """Count the commands."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def apply(self, index: int, command: bytes) -> int:
+        """Count one command."""
+        self.count += 1
+        return index
+
+    def snapshot(self) -> bytes:
+        """Return the count."""
+        return self.count.to_bytes(8, "big")
+
+    def restore(self, data: bytes) -> None:
+        """Set the count."""
+        self.count = int.from_bytes(data, "big")
+
+
+@contextlib.asynccontextmanager
+async def start_group(directory: str) -> AsyncIterator[Replica]:
+    """Start three replicas and yield the leader."""
+    network = FakeNetwork(1)
+    replicas = [
+        Replica(
+            transport=network.transport(replica_id),
+            storage=Storage(FileDisk(pathlib.Path(directory) / replica_id)),
+            machine=CountingMachine(),
+            voters=IDS,
+            seed=1,
+        )
+        for replica_id in IDS
+    ]
+    await asyncio.gather(*(replica.start() for replica in replicas))
+    try:
+        yield await find_leader(replicas)
+    finally:
+        for replica in replicas:
+            await replica.stop()
+
+
+async def find_leader(replicas: list[Replica]) -> Replica:
+    """Wait for the first leader."""
+    while True:
+        for replica in replicas:
+            if replica.is_leader():
+                return replica
+        await asyncio.sleep(0.01)
+
+
+async def propose(leader: Replica) -> None:
+    """Commit one command or fail."""
+    result: Any = await leader.propose(bytes(COMMAND_BYTES), timeout=10.0)
+    if not isinstance(result, Success):
+        raise RuntimeError(f"command was not committed: {result.failure().code}")
+
+
+async def measure_sequential(leader: Replica) -> float:
+    """Return commands per second, one at a time."""
+    started = time.perf_counter()
+    for _ in range(COMMANDS):
+        await propose(leader)
+    return COMMANDS / (time.perf_counter() - started)
+
+
+async def measure_concurrent(leader: Replica) -> float:
+    """Return commands per second, all at once."""
+    started = time.perf_counter()
+    await asyncio.gather(*(propose(leader) for _ in range(COMMANDS)))
+    return COMMANDS / (time.perf_counter() - started)
+
+
+async def main() -> None:
+    """Print both rates and their ratio."""
+    with tempfile.TemporaryDirectory() as directory:
+        async with start_group(directory) as leader:
+            sequential = await measure_sequential(leader)
+            concurrent = await measure_concurrent(leader)
+    print(f"sequential={sequential:.0f}/s concurrent={concurrent:.0f}/s")
+    print(f"ratio={concurrent / sequential:.1f}")
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/toucanwood/consensus/_disk.py
+++ b/toucanwood/consensus/_disk.py
@@ -1,13 +1,16 @@
 """Blocking file operations in one data directory, behind a small interface."""
 
 import asyncio
+import fcntl
 import os
 import pathlib
 from collections.abc import Callable
-from typing import Protocol, TypeVar
+from typing import BinaryIO, Protocol, TypeVar
 
 T = TypeVar("T")
 
+LOCK_FILE = "lock"
+
 
 class Disk(Protocol):
     """Access the files of one data directory; every operation may raise OSError."""
@@ -15,6 +18,12 @@
     async def run(self, operation: Callable[[], T]) -> T:
         """Run a blocking operation without blocking the event loop."""
 
+    def lock(self) -> None:
+        """Refuse a second user of the directory; raise BlockingIOError if there is."""
+
+    def close(self) -> None:
+        """Give up the lock."""
+
     def names(self) -> list[str]:
         """Return the names of all files."""
 
@@ -46,11 +55,28 @@
     def __init__(self, directory: str | os.PathLike[str]) -> None:
         self._directory = pathlib.Path(directory)
         self._directory.mkdir(parents=True, exist_ok=True)
+        self._lock_file: BinaryIO | None = None
 
     async def run(self, operation: Callable[[], T]) -> T:
         """Run a blocking operation in a thread."""
         return await asyncio.to_thread(operation)
 
+    def lock(self) -> None:
+        """Refuse a second user of the directory; raise BlockingIOError if there is."""
+        file = open(self._directory / LOCK_FILE, "ab")
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            file.close()
+            raise
+        self._lock_file = file
+
+    def close(self) -> None:
+        """Give up the lock."""
+        if self._lock_file is not None:
+            self._lock_file.close()
+            self._lock_file = None
+
     def names(self) -> list[str]:
         """Return the names of all files."""
         return sorted(path.name for path in self._directory.iterdir())
--- a/toucanwood/consensus/_election.py
+++ b/toucanwood/consensus/_election.py
@@ -41,14 +41,18 @@
         core = self._core
         while not core.is_closed:
             await self._wait_timeout()
-            if core.is_voter and core.role is not Role.LEADER:
+            if self._should_campaign():
                 await self._campaign_safely(is_transfer=False)
 
+    def _should_campaign(self) -> bool:
+        core = self._core
+        return core.is_voter and core.role is not Role.LEADER and not core.is_closed
+
     async def _wait_timeout(self) -> None:
         """Sleep until one random timeout has passed without a leader."""
         core = self._core
         timeout = self._random.uniform(MIN_ELECTION_S, MAX_ELECTION_S)
-        while True:
+        while not core.is_closed:
             if core.role is Role.LEADER:
                 self._check_quorum()
                 await asyncio.sleep(HEARTBEAT_S)
--- a/toucanwood/consensus/_leadership.py
+++ b/toucanwood/consensus/_leadership.py
@@ -26,6 +26,7 @@
 from toucanwood.consensus._records import StorageError
 from toucanwood.consensus._storage import Snapshot
 from toucanwood.peering import PeerUnavailable
+from toucanwood.verdicts import Execution
 
 log = structlog.get_logger()
 
@@ -208,7 +209,10 @@
         core = self._core
         sent_at = core.now()
         reply = await core.transport.call(peer.id, request, timeout=timeout)
-        if not isinstance(reply, AppendReply) or not self._is_current(term):
+        if not isinstance(reply, AppendReply):
+            # The peer is starting or stopping.
+            raise PeerUnavailable(peer.id, "not ready", Execution.NOT_RUN)
+        if not self._is_current(term):
             return False
         if reply.incarnation != peer.member.incarnation:
             peer.lost_disk = reply.incarnation
--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -81,8 +81,10 @@
         """Hand over the leadership, stop every task and finish writes in progress."""
         if not self._core.is_closed:
             await self._leadership.transfer()
-        await self._core.tasks.stop()
+        # wait_for of Python 3.11 can lose a cancellation when its future ends in the
+        # same step, so the tasks must also see that the replica is closed.
         self._core.close("stopped")
+        await self._core.tasks.stop()
         await self._core.storage.close()
 
     async def wait_failed(self) -> str:
--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -76,8 +76,11 @@
     async def open(self) -> Snapshot | None:
         """Load the files and return the snapshot; an empty directory gets a new one.
 
-        Raises DamagedStorageError when a file is damaged or missing.
+        Raises DamagedStorageError when a file is damaged or missing, and StorageError
+        when another process uses the directory.
         """
+        # Two processes on one directory would vote twice.
+        await self._run(self._disk.lock)
         names = await self._run(self._disk.names)
         if STATE_FILE in names:
             return await self._load(names)
@@ -121,7 +124,7 @@
     async def close(self) -> None:
         """Wait for writes in progress."""
         async with self._log_lock, self._state_lock, self._snapshot_lock:
-            return
+            self._disk.close()
 
     async def _save_state(self, state: HardState) -> None:
         async with self._state_lock:
--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -92,6 +92,12 @@
         """Remove a file."""
         del self._names[name]
 
+    def lock(self) -> None:
+        """Do nothing; a crashed process gives up its lock."""
+
+    def close(self) -> None:
+        """Do nothing; no file is open."""
+
     def names(self) -> list[str]:
         """Return the names of all files."""
         self._check()
--- a/toucanwood/consensus/tests/test_storage.py
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -42,7 +42,8 @@
 
 
 def test_content_survives_a_restart_on_the_file_system():
-    # Guards against a file format that cannot be read back.
+    # Guards against a file format that cannot be read back, and against two processes
+    # on one directory.
     async def main(directory):
         storage, _ = await open_storage(FileDisk(directory))
         await storage.save_state(HardState(3, "b", storage.state.incarnation))
@@ -50,6 +51,12 @@
         storage.truncate_from(8)
         await fill(storage, 8, 9, term=2)
         await storage.save_snapshot(Snapshot(5, 1, MEMBERS, b"five"), keep=2)
+        try:
+            await open_storage(FileDisk(directory))
+        except StorageError as error:
+            assert "data directory failed" in str(error)
+        else:
+            raise AssertionError("two users of one directory")
         await storage.close()
         again, snapshot = await open_storage(FileDisk(directory))
         assert again.state == storage.state
