Offer a group of replicas for the tests of other packages

Cause: state, feed and limits need replicas in one process, and the harness was part of the consensus tests only. Change: ReplicaGroup in consensus.testing; the tests keep only the oracle; 16 instead of 8 fuzz examples with five replicas; shorter storage tests.

--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -1,13 +1,18 @@
-"""A disk in memory with seeded faults, for tests and benchmarks."""
+"""Disks with seeded faults and groups of replicas, for tests and benchmarks."""
 
 import asyncio
 import errno
 import random
-from collections.abc import Callable
-from typing import TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import attrs
 
+from toucanwood.consensus._core import Machine
+from toucanwood.consensus._replica import Replica
+from toucanwood.consensus._storage import Storage
+from toucanwood.peering.testing import FakeNetwork
+
 T = TypeVar("T")
 
 DISK_STEPS = ("create", "append", "truncate", "sync", "rename", "sync_directory")
@@ -177,3 +182,69 @@
             self.crash()
             self.on_crash()
         raise trigger.error
+
+
+class ReplicaGroup:
+    """Run replicas in one process on a fake network and fake disks.
+
+    `machine` builds the machine of each new process; `options` go to each replica.
+    """
+
+    def __init__(
+        self,
+        ids: Iterable[str],
+        *,
+        machine: Callable[[], Machine],
+        voters: Iterable[str] | None = None,
+        seed: int = 1,
+        **options: Any,
+    ) -> None:
+        self.ids = list(ids)
+        self.voters = list(voters or self.ids)
+        self.seed = seed
+        self.options = options
+        self.network = FakeNetwork(seed)
+        self.disks = {key: FakeDisk(seed * 100 + n) for n, key in enumerate(self.ids)}
+        self.machines: dict[str, Any] = {}
+        self.replicas: dict[str, Replica] = {}
+        self._machine = machine
+        self._starts = 0
+
+    async def start(self, *ids: str) -> None:
+        """Start some replicas, or all."""
+        for replica_id in ids or self.ids:
+            await self._start_one(replica_id)
+
+    async def crash(self, replica_id: str) -> None:
+        """Stop a process without any warning."""
+        self.network.stop(replica_id)
+        self.disks[replica_id].crash()
+        replica = self.replicas.pop(replica_id, None)
+        if replica is not None:
+            replica._core.close("crashed")
+            await replica._core.tasks.stop()
+
+    async def restart(self, replica_id: str, *, lose_disk: bool = False) -> None:
+        """Crash a process and start it on its disk, or on an empty one."""
+        await self.crash(replica_id)
+        disk = self.disks[replica_id]
+        self.disks[replica_id] = disk.replace() if lose_disk else disk.restart()
+        await self._start_one(replica_id)
+
+    def leaders(self) -> list[str]:
+        """Return the replicas that hold a leader lease."""
+        return [key for key, replica in self.replicas.items() if replica.is_leader()]
+
+    async def _start_one(self, replica_id: str) -> None:
+        self._starts += 1
+        self.machines[replica_id] = self._machine()
+        replica = Replica(
+            transport=self.network.transport(replica_id),
+            storage=Storage(self.disks[replica_id]),
+            machine=self.machines[replica_id],
+            voters=self.voters,
+            seed=self.seed * 1000 + self._starts,
+            **self.options,
+        )
+        self.replicas[replica_id] = replica
+        await replica.start()
--- a/toucanwood/consensus/tests/fixtures.py
+++ b/toucanwood/consensus/tests/fixtures.py
@@ -6,9 +6,7 @@
 import msgpack
 from returns.result import Success
 
-from toucanwood.consensus import Replica, Storage
-from toucanwood.consensus.testing import FakeDisk
-from toucanwood.peering.testing import FakeNetwork
+from toucanwood.consensus.testing import ReplicaGroup
 from toucanwood.utils import run_virtual
 
 
@@ -74,56 +72,15 @@
             self.history.apply(index, command)
 
 
-class Cluster:
-    """Start, crash and restart replicas."""
+class Cluster(ReplicaGroup):
+    """Check a group against the oracle."""
 
-    def __init__(self, ids, *, voters=None, seed=1, **options):
-        self.ids = list(ids)
-        self.voters = list(voters or ids)
-        self.seed = seed
-        self.options = {"snapshot_entries": 20, "keep_entries": 5, **options}
-        self.network = FakeNetwork(seed)
+    def __init__(self, ids, *, seed=1, **options):
         self.history = History()
-        self.disks = {key: FakeDisk(seed * 100 + n) for n, key in enumerate(self.ids)}
-        self.machines = {}
-        self.replicas = {}
-        self.starts = 0
-
-    async def start(self, *ids):
-        for replica_id in ids or self.ids:
-            await self.start_one(replica_id)
-
-    async def start_one(self, replica_id):
-        self.starts += 1
-        self.machines[replica_id] = ListMachine(self.history)
-        replica = Replica(
-            transport=self.network.transport(replica_id),
-            storage=Storage(self.disks[replica_id]),
-            machine=self.machines[replica_id],
-            voters=self.voters,
-            seed=self.seed * 1000 + self.starts,
-            **self.options,
+        options = {"snapshot_entries": 20, "keep_entries": 5, **options}
+        super().__init__(
+            ids, machine=lambda: ListMachine(self.history), seed=seed, **options
         )
-        self.replicas[replica_id] = replica
-        await replica.start()
-
-    async def crash(self, replica_id):
-        """Stop a process without any warning."""
-        self.network.stop(replica_id)
-        self.disks[replica_id].crash()
-        replica = self.replicas.pop(replica_id, None)
-        if replica is not None:
-            replica._core.close("crashed")
-            await replica._core.tasks.stop()
-
-    async def restart(self, replica_id, *, lose_disk=False):
-        await self.crash(replica_id)
-        disk = self.disks[replica_id]
-        self.disks[replica_id] = disk.replace() if lose_disk else disk.restart()
-        await self.start_one(replica_id)
-
-    def leaders(self):
-        return [key for key, replica in self.replicas.items() if replica.is_leader()]
 
     async def wait_leader(self, among=None, *, limit=30.0):
         def find():
--- a/toucanwood/consensus/tests/test_fuzz.py
+++ b/toucanwood/consensus/tests/test_fuzz.py
@@ -255,4 +255,4 @@
 
 def test_five_replicas_keep_every_acknowledged_command():
     # Guards against the same faults where two replicas may fail at once.
-    fuzz(FiveReplicaMachine, 8)
+    fuzz(FiveReplicaMachine, 16)
--- a/toucanwood/consensus/tests/test_storage.py
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -32,13 +32,17 @@
     await storage.sync()
 
 
-async def expect_damage(disk, text):
+async def expect_error(main, kind, text=""):
     try:
-        await open_storage(disk)
-    except DamagedStorageError as error:
+        await main
+    except kind as error:
         assert text in str(error), error
     else:
-        raise AssertionError("damage was not detected")
+        raise AssertionError(f"{kind.__name__} was not raised")
+
+
+async def expect_damage(disk, text):
+    await expect_error(open_storage(disk), DamagedStorageError, text)
 
 
 def test_content_survives_a_restart_on_the_file_system():
@@ -51,12 +55,8 @@
         storage.truncate_from(8)
         await fill(storage, 8, 9, term=2)
         await storage.save_snapshot(Snapshot(5, 1, MEMBERS, b"five"), keep=2)
-        try:
-            await open_storage(FileDisk(directory))
-        except StorageError as error:
-            assert "data directory failed" in str(error)
-        else:
-            raise AssertionError("two users of one directory")
+        second = open_storage(FileDisk(directory))
+        await expect_error(second, StorageError, "data directory failed")
         await storage.close()
         again, snapshot = await open_storage(FileDisk(directory))
         assert again.state == storage.state
@@ -97,13 +97,9 @@
             await fill(storage, 1, 3)
             disk.cut("log", len(disk.read("log")) - 1)
             disk.fail_at(step, error())
-            try:
-                await open_storage(disk)
-            except StorageError:
-                again, _ = await open_storage(disk.restart())
-                assert again.log.last_index == 2
-            else:
-                raise AssertionError(f"failed {step} was not reported")
+            await expect_error(open_storage(disk), StorageError)
+            again, _ = await open_storage(disk.restart())
+            assert again.log.last_index == 2
 
 
 @in_virtual_time
@@ -224,12 +220,8 @@
     disk = FakeDisk(seed)
     disk.fail_at("any", error, countdown=position)
     durable = Durable()
-    try:
-        await run_script(disk, durable)
-    except StorageError:
-        await check_durable(disk.restart(), durable)
-    else:
-        raise AssertionError(f"step {position} did not fail")
+    await expect_error(run_script(disk, durable), StorageError)
+    await check_durable(disk.restart(), durable)
 
 
 @in_virtual_time
@@ -241,12 +233,8 @@
     storage.on_failure = reasons.append
     disk.fail_at("sync", OSError(errno.EIO, "input/output error"))
     for _ in range(3):
-        try:
-            await fill(storage, storage.log.last_index + 1, 3)
-        except StorageError as error:
-            assert "input/output error" in str(error)
-        else:
-            raise AssertionError("sync succeeded after a failed fsync")
+        work = fill(storage, storage.log.last_index + 1, 3)
+        await expect_error(work, StorageError, "input/output error")
     assert len(reasons) == 1
     assert storage.synced_index == 0
 
