Answer heartbeats while a slow disk syncs

Cause: a follower answered only after its fsync, so disks with stalls longer than the call timeout deposed the leader again and again. Change: a follower waits at most half the call timeout and reports the index that is synced; the call for a vote, which needs a sync, waits 0.45 s.

--- a/toucanwood/consensus/_election.py
+++ b/toucanwood/consensus/_election.py
@@ -17,6 +17,9 @@
 from toucanwood.consensus._records import StorageError
 from toucanwood.peering import PeerUnavailable
 
+# A vote is answered only after the voter has synced it.
+VOTE_TIMEOUT_S = 0.45
+
 
 class Election:
     """Campaign when no leader is heard, and answer the campaigns of others."""
@@ -128,7 +131,8 @@
             is_transfer=is_transfer,
         )
         try:
-            reply = await core.transport.call(voter, request, timeout=CALL_TIMEOUT_S)
+            timeout = CALL_TIMEOUT_S if is_pre_vote else VOTE_TIMEOUT_S
+            reply = await core.transport.call(voter, request, timeout=timeout)
         except PeerUnavailable:
             return False
         if not isinstance(reply, VoteReply):
--- a/toucanwood/consensus/_receiver.py
+++ b/toucanwood/consensus/_receiver.py
@@ -1,8 +1,10 @@
 """What a follower does with the messages of a leader."""
 
+import asyncio
+
 import attrs
 
-from toucanwood.consensus._core import Core
+from toucanwood.consensus._core import CALL_TIMEOUT_S, Core
 from toucanwood.consensus._log import Entry
 from toucanwood.consensus._members import Members
 from toucanwood.consensus._messages import (
@@ -12,6 +14,8 @@
 )
 from toucanwood.consensus._storage import Snapshot
 
+MAX_SYNC_WAIT_S = CALL_TIMEOUT_S / 2
+
 
 @attrs.define
 class _Download:
@@ -74,11 +78,22 @@
             return self._reply(success=False, index=hint)
         for packed in request.entries:
             self._store_entry(Entry(*packed))
-        await core.storage.sync()
-        matched = request.previous_index + len(request.entries)
+        await self._sync_briefly()
+        end = request.previous_index + len(request.entries)
+        matched = min(end, core.storage.synced_index)
         core.commit(min(request.commit_index, matched))
         return self._reply(success=True, index=matched)
 
+    async def _sync_briefly(self) -> None:
+        """Wait for the disk, but answer before the leader's call times out.
+
+        A leader that got no answers from slow disks would lose its lease.
+        """
+        try:
+            await asyncio.wait_for(self._core.storage.sync(), MAX_SYNC_WAIT_S)
+        except TimeoutError:
+            return
+
     def _store_entry(self, entry: Entry) -> None:
         core = self._core
         term = core.storage.log.term_at(entry.index)
--- a/toucanwood/consensus/tests/test_leadership.py
+++ b/toucanwood/consensus/tests/test_leadership.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from returns.result import Success
+
 from toucanwood.consensus._log import Entry
 from toucanwood.consensus._members import find_majority_value
 from toucanwood.consensus._messages import (
@@ -302,3 +304,18 @@
     call = get_core(cluster, other).transport.call
     assert (await call(follower, request, timeout=1.0)).success
     assert core.commit_index == last
+
+
+@on_cluster("abc")
+async def test_slow_disks_do_not_end_the_lease(cluster):
+    # Guards against a leader that is deposed because each fsync takes longer than
+    # the lease lasts.
+    leader = await cluster.wait_leader()
+    await cluster.watch(1.0)
+    for disk in cluster.disks.values():
+        disk.max_delay = 1.0
+    for number in range(20):
+        result = await cluster.propose_once(leader, b"%d" % number, timeout=5.0)
+        assert isinstance(result, Success)
+        assert cluster.leaders() == [leader]
+    assert get_core(cluster, leader).term == 1
