--- a/toucanwood/consensus/tests/test_leadership.py
+++ b/toucanwood/consensus/tests/test_leadership.py
@@ -185,6 +185,7 @@
         transfer = asyncio.create_task(replica._leadership.transfer())
         await wait_until(lambda at=leader: get_core(cluster, at).term, 1.0)
         await transfer
+        assert not replica.is_leader()
         cluster.network.partition({leader}, set(others(cluster, leader)))
         await cluster.watch(1.5, interval=0.001)
         cluster.network.heal()
@@ -309,7 +310,7 @@
 @on_cluster("abc")
 async def test_slow_disks_do_not_end_the_lease(cluster):
     # Guards against a leader that is deposed because each fsync takes longer than
-    # the lease lasts.
+    # the lease lasts, and against an answer that counts what is not synced yet.
     leader = await cluster.wait_leader()
     await cluster.watch(1.0)
     for disk in cluster.disks.values():
@@ -317,5 +318,7 @@
     for number in range(20):
         result = await cluster.propose_once(leader, b"%d" % number, timeout=5.0)
         assert isinstance(result, Success)
+        logs = [get_core(cluster, key).storage for key in cluster.ids]
+        assert sum(log.synced_index >= result.unwrap() for log in logs) >= 2
         assert cluster.leaders() == [leader]
     assert get_core(cluster, leader).term == 1
