--- a/toucanwood/consensus/_election.py
+++ b/toucanwood/consensus/_election.py
@@ -17,6 +17,9 @@
 from toucanwood.consensus._records import StorageError
 from toucanwood.peering import PeerUnavailable
 
+# A vote is answered only after the voter has synced it.
+VOTE_TIMEOUT_S = 0.45
+
 
 class Election:
     """Campaign when no leader is heard, and answer the campaigns of others."""
@@ -41,14 +44,18 @@
         core = self._core
         while not core.is_closed:
             await self._wait_timeout()
-            if core.is_voter and core.role is not Role.LEADER:
+            if self._should_campaign():
                 await self._campaign_safely(is_transfer=False)
 
+    def _should_campaign(self) -> bool:
+        core = self._core
+        return core.is_voter and core.role is not Role.LEADER and not core.is_closed
+
     async def _wait_timeout(self) -> None:
         """Sleep until one random timeout has passed without a leader."""
         core = self._core
         timeout = self._random.uniform(MIN_ELECTION_S, MAX_ELECTION_S)
-        while True:
+        while not core.is_closed:
             if core.role is Role.LEADER:
                 self._check_quorum()
                 await asyncio.sleep(HEARTBEAT_S)
@@ -124,7 +131,8 @@
             is_transfer=is_transfer,
         )
         try:
-            reply = await core.transport.call(voter, request, timeout=CALL_TIMEOUT_S)
+            timeout = CALL_TIMEOUT_S if is_pre_vote else VOTE_TIMEOUT_S
+            reply = await core.transport.call(voter, request, timeout=timeout)
         except PeerUnavailable:
             return False
         if not isinstance(reply, VoteReply):
--- a/toucanwood/consensus/_leadership.py
+++ b/toucanwood/consensus/_leadership.py
@@ -4,6 +4,7 @@
 import math
 
 import attrs
+import structlog
 
 from toucanwood.consensus._core import (
     CALL_TIMEOUT_S,
@@ -25,6 +26,9 @@
 from toucanwood.consensus._records import StorageError
 from toucanwood.consensus._storage import Snapshot
 from toucanwood.peering import PeerUnavailable
+from toucanwood.verdicts import Execution
+
+log = structlog.get_logger()
 
 MAX_BATCH_BYTES = 1024 * 1024
 CHUNK_BYTES = 256 * 1024
@@ -100,13 +104,15 @@
         self._peers = {}
         # The members serve as the no-op entry of the term.
         self._first_index = self.append(EntryKind.MEMBERS, core.members.pack())
+        log.info("leader_elected", replica=core.id, term=core.term)
 
     def append(self, kind: EntryKind, data: bytes) -> int:
         """Add an entry, start its replication and return its index."""
         core = self._core
         index = core.storage.log.last_index + 1
         core.append(Entry(index, core.term, kind, data))
-        self._update_peers()
+        if kind == EntryKind.MEMBERS:
+            self._update_peers()
         for peer in self._peers.values():
             peer.wake.set()
         core.tasks.start(self._sync_own(core.term), name="sync-log")
@@ -203,7 +209,10 @@
         core = self._core
         sent_at = core.now()
         reply = await core.transport.call(peer.id, request, timeout=timeout)
-        if not isinstance(reply, AppendReply) or not self._is_current(term):
+        if not isinstance(reply, AppendReply):
+            # The peer is starting or stopping.
+            raise PeerUnavailable(peer.id, "not ready", Execution.NOT_RUN)
+        if not self._is_current(term):
             return False
         if reply.incarnation != peer.member.incarnation:
             peer.lost_disk = reply.incarnation
--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -76,8 +76,11 @@
     async def open(self) -> Snapshot | None:
         """Load the files and return the snapshot; an empty directory gets a new one.
 
-        Raises DamagedStorageError when a file is damaged or missing.
+        Raises DamagedStorageError when a file is damaged or missing, and StorageError
+        when another process uses the directory.
         """
+        # Two processes on one directory would vote twice.
+        await self._run(self._disk.lock)
         names = await self._run(self._disk.names)
         if STATE_FILE in names:
             return await self._load(names)
@@ -103,6 +106,8 @@
         """Wait until everything added so far is durable; callers share one fsync."""
         target = self._appended
         while self._durable < target:
+            if self.failure is not None:
+                raise StorageError(self.failure)
             if self._flush_task is None:
                 self._flush_task = asyncio.create_task(self._flush())
             await asyncio.shield(self._flush_task)
@@ -119,7 +124,7 @@
     async def close(self) -> None:
         """Wait for writes in progress."""
         async with self._log_lock, self._state_lock, self._snapshot_lock:
-            return
+            self._disk.close()
 
     async def _save_state(self, state: HardState) -> None:
         async with self._state_lock:
@@ -166,6 +171,9 @@
         try:
             async with self._log_lock:
                 await self._write_buffer()
+        except StorageError:
+            # Every waiting caller raises the recorded failure itself.
+            return
         finally:
             self._flush_task = None
 
@@ -270,7 +278,9 @@
 
     async def _shield(self, main: Coroutine[Any, Any, T]) -> T:
         """Finish a write even if the caller is cancelled."""
-        return await asyncio.shield(asyncio.ensure_future(main))
+        task = asyncio.ensure_future(main)
+        task.add_done_callback(_retrieve_error)
+        return await asyncio.shield(task)
 
     async def _run(self, operation: Callable[[], T]) -> T:
         if self.failure is not None:
@@ -285,6 +295,12 @@
             raise StorageError(self.failure) from error
 
 
+def _retrieve_error(task: "asyncio.Future[Any]") -> None:
+    """Mark an error as seen; `on_failure` has reported it."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _unpack_snapshot(data: bytes) -> Snapshot:
     index, term, members, content = read_single(data, SNAPSHOT_FILE)
     return Snapshot(index, term, Members.unpack(members), content)
--- a/toucanwood/consensus/tests/fixtures.py
+++ b/toucanwood/consensus/tests/fixtures.py
@@ -1,14 +1,13 @@
 """A cluster of real replicas on a fake network and fake disks, and an oracle."""
 
 import asyncio
-import math
+import bisect
 
 import msgpack
 from returns.result import Success
 
-from toucanwood.consensus import Replica, Storage
-from toucanwood.consensus.testing import FakeDisk
-from toucanwood.peering.testing import FakeNetwork
+from toucanwood.consensus.testing import ReplicaGroup
+from toucanwood.utils import run_virtual
 
 
 class History:
@@ -18,6 +17,8 @@
         self.by_index = {}
         self.index_of = {}
         self.acknowledged = []
+        self.times = []
+        self.highest_indexes = []
         self.refused = set()
         self.errors = []
 
@@ -36,9 +37,17 @@
 
     def acknowledge(self, index, command):
         self.acknowledged.append((now(), index, command))
+        highest = self.highest_indexes[-1] if self.highest_indexes else 0
+        self.times.append(now())
+        self.highest_indexes.append(max(highest, index))
         if self.by_index.get(index) != command:
             self.errors.append(f"command {command!r} acknowledged and not applied")
 
+    def find_acknowledged(self, time):
+        """Return the highest index that was acknowledged up to a time."""
+        count = bisect.bisect_right(self.times, time)
+        return self.highest_indexes[count - 1] if count else 0
+
 
 class ListMachine:
     """Remember every command with its index."""
@@ -63,56 +72,15 @@
             self.history.apply(index, command)
 
 
-class Cluster:
-    """Start, crash and restart replicas."""
+class Cluster(ReplicaGroup):
+    """Check a group against the oracle."""
 
-    def __init__(self, ids, *, voters=None, seed=1, **options):
-        self.ids = list(ids)
-        self.voters = list(voters or ids)
-        self.seed = seed
-        self.options = {"snapshot_entries": 20, "keep_entries": 5, **options}
-        self.network = FakeNetwork(seed)
+    def __init__(self, ids, *, seed=1, **options):
         self.history = History()
-        self.disks = {key: FakeDisk(seed * 100 + n) for n, key in enumerate(self.ids)}
-        self.machines = {}
-        self.replicas = {}
-        self.starts = 0
-
-    async def start(self, *ids):
-        for replica_id in ids or self.ids:
-            await self.start_one(replica_id)
-
-    async def start_one(self, replica_id):
-        self.starts += 1
-        self.machines[replica_id] = ListMachine(self.history)
-        replica = Replica(
-            transport=self.network.transport(replica_id),
-            storage=Storage(self.disks[replica_id]),
-            machine=self.machines[replica_id],
-            voters=self.voters,
-            seed=self.seed * 1000 + self.starts,
-            **self.options,
+        options = {"snapshot_entries": 20, "keep_entries": 5, **options}
+        super().__init__(
+            ids, machine=lambda: ListMachine(self.history), seed=seed, **options
         )
-        self.replicas[replica_id] = replica
-        await replica.start()
-
-    async def crash(self, replica_id):
-        """Stop a process without any warning."""
-        self.network.stop(replica_id)
-        self.disks[replica_id].crash()
-        replica = self.replicas.pop(replica_id, None)
-        if replica is not None:
-            replica._core.close("crashed")
-            await replica._core.tasks.stop()
-
-    async def restart(self, replica_id, *, lose_disk=False):
-        await self.crash(replica_id)
-        disk = self.disks[replica_id]
-        self.disks[replica_id] = disk.replace() if lose_disk else disk.restart()
-        await self.start_one(replica_id)
-
-    def leaders(self):
-        return [key for key, replica in self.replicas.items() if replica.is_leader()]
 
     async def wait_leader(self, among=None, *, limit=30.0):
         def find():
@@ -178,14 +146,11 @@
         assert len(self.leaders()) <= 1, f"leaders with a lease: {self.leaders()}"
         for replica_id, replica in self.replicas.items():
             proven_at = now() - replica.lease_age()
-            if math.isinf(proven_at):
-                continue
-            for time, index, command in self.history.acknowledged:
-                known = replica._core.applied_index >= index
-                assert known or time > proven_at, (
-                    f"{replica_id} proved its state current at {proven_at:.4f} "
-                    f"without {command!r}, acknowledged at {time:.4f}"
-                )
+            needed = self.history.find_acknowledged(proven_at)
+            assert replica._core.applied_index >= needed, (
+                f"{replica_id} proved its state current at {proven_at:.4f} without "
+                f"index {needed}, which was acknowledged before"
+            )
 
     async def watch(self, duration, interval=0.01):
         """Let time pass and check at every interval."""
@@ -205,3 +170,47 @@
         assert now() < deadline, f"condition not met within {limit} s"
         await asyncio.sleep(0.01)
     return value
+
+
+def on_cluster(ids, *, seeds=1, **options):
+    """Run a test on a started cluster, once for each seed."""
+
+    def decorate(scenario):
+        async def main(seed):
+            cluster = Cluster(ids, seed=seed, **options)
+            await cluster.start()
+            await cluster.wait_leader()
+            await scenario(cluster)
+            cluster.check()
+
+        def test():
+            for seed in range(1, seeds + 1):
+                run_virtual(main(seed))
+
+        return rename(test, scenario)
+
+    return decorate
+
+
+def in_virtual_time(scenario):
+    """Run a test on a new virtual-time loop."""
+    return rename(lambda: run_virtual(scenario()), scenario)
+
+
+def rename(test, scenario):
+    test.__name__ = test.__qualname__ = scenario.__name__
+    test.__module__ = scenario.__module__
+    return test
+
+
+async def propose_many(cluster, prefix, count):
+    for number in range(count):
+        await cluster.propose(b"%b%d" % (prefix, number))
+
+
+def others(cluster, *ids):
+    return [key for key in cluster.ids if key not in ids]
+
+
+def get_core(cluster, replica_id):
+    return cluster.replicas[replica_id]._core
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -1,19 +1,230 @@
-"""Tests of replicas on a network without faults, and of single faults."""
+"""Tests of replication, repair and membership changes."""
 
-from toucanwood.consensus.tests.fixtures import Cluster
-from toucanwood.utils import run_virtual
+import asyncio
+import random
 
+import msgpack
+from returns.result import Failure, Success
 
-def test_three_replicas_form_a_group_and_apply_commands():
+from toucanwood.consensus._messages import (
+    AppendEntries,
+    InstallSnapshot,
+)
+from toucanwood.consensus.tests.fixtures import (
+    get_core,
+    on_cluster,
+    others,
+    propose_many,
+    wait_until,
+)
+from toucanwood.peering.testing import LinkFaults
+
+
+@on_cluster("abc")
+async def test_three_replicas_form_a_group_and_apply_commands(cluster):
     # Guards against a group that cannot form, elect or replicate.
-    async def main():
-        cluster = Cluster("abc")
-        await cluster.start()
-        for number in range(20):
-            await cluster.propose(b"%d" % number)
-        await cluster.wait_equal()
-        commands = cluster.machines["a"].commands.values()
-        assert list(commands) == [b"%d" % n for n in range(20)]
-        assert len(cluster.leaders()) == 1
-
-    run_virtual(main())
+    await propose_many(cluster, b"", 20)
+    await cluster.wait_equal()
+    commands = cluster.machines["a"].commands.values()
+    assert list(commands) == [b"%d" % n for n in range(20)]
+    assert len(cluster.leaders()) == 1
+
+
+@on_cluster("a")
+async def test_a_single_replica_leads_and_restarts(cluster):
+    # Guards against a majority of one that is never reached.
+    await propose_many(cluster, b"", 5)
+    await cluster.restart("a")
+    await propose_many(cluster, b"x", 1)
+    assert len(cluster.machines["a"].commands) == 6
+
+
+@on_cluster("abc")
+async def test_a_follower_refuses_and_names_the_leader(cluster):
+    # Guards against a caller that cannot tell that it may resend to the leader.
+    leader = await cluster.wait_leader()
+    follower = others(cluster, leader)[0]
+    result = await cluster.propose_once(follower, b"x")
+    assert result.failure().code == "not_leader"
+    assert result.failure().is_not_run
+    assert cluster.replicas[follower].leader() == leader
+
+
+@on_cluster("abc")
+async def test_a_proposal_without_a_majority_may_have_run(cluster):
+    # Guards against "not run" for an entry that a later leader may commit.
+    leader = await cluster.wait_leader()
+    cluster.network.partition({leader}, set(others(cluster, leader)))
+    result = await cluster.propose_once(leader, b"x", timeout=0.3)
+    assert result.failure().code == "commit_unknown"
+    assert not result.failure().is_not_run
+
+
+@on_cluster("abc", snapshot_entries=1000)
+async def test_concurrent_proposals_share_syncs(cluster):
+    # Guards against one fsync and one message for each proposal.
+    leader = await cluster.wait_leader()
+    before = {key: disk.steps.count("sync") for key, disk in cluster.disks.items()}
+    proposals = [cluster.propose_once(leader, b"%d" % n) for n in range(200)]
+    results = await asyncio.gather(*proposals)
+    assert all(isinstance(result, Success) for result in results)
+    for key, disk in cluster.disks.items():
+        assert disk.steps.count("sync") - before[key] <= 5
+
+
+@on_cluster("abc")
+async def test_messages_to_a_lost_identity_or_of_an_old_term_change_nothing(cluster):
+    # Guards against an old leader, or one that addresses a lost disk, whose entries
+    # are counted.
+    leader = await cluster.wait_leader()
+    first, second = others(cluster, leader)
+    core = get_core(cluster, second)
+    call = get_core(cluster, first).transport.call
+    last = core.storage.log.last_index
+    cases = [(core.term - 1, core.incarnation), (core.term, "lost")]
+    for term, target in cases:
+        entries = [[last + 1, term, 0, b"x"]]
+        request = AppendEntries(
+            term, target, last, core.storage.log.last_term, entries, last + 1
+        )
+        reply = await call(second, request, timeout=1.0)
+        assert not reply.success
+        chunk = InstallSnapshot(term, target, last + 9, term, is_last=True)
+        assert not (await call(second, chunk, timeout=1.0)).success
+    assert core.storage.log.last_index == last
+
+
+@on_cluster("abc", seeds=4)
+async def test_a_second_disk_is_lost_right_after_the_repair_of_the_first(cluster):
+    # Guards against a repaired replica that counts before it holds the data, and
+    # against votes of lost identities.
+    await propose_many(cluster, b"", 60)
+    for repair, lost in enumerate("abca"):
+        await cluster.restart(lost, lose_disk=True)
+        await wait_until(lambda at=lost: cluster.is_voter(at))
+        await propose_many(cluster, b"repair %d " % repair, 3)
+    await cluster.wait_equal()
+    assert sorted(cluster.members().voters) == ["a", "b", "c"]
+
+
+@on_cluster("abc")
+async def test_a_restart_after_600_changes_continues(cluster):
+    # Guards against a log or snapshot that cannot be read back, and one that grows.
+    await propose_many(cluster, b"", 600)
+    for replica_id in cluster.ids:
+        await cluster.crash(replica_id)
+    for replica_id in cluster.ids:
+        await cluster.restart(replica_id)
+    await cluster.propose(b"x")
+    await cluster.wait_equal()
+    assert len(cluster.machines["a"].commands) == 601
+    for replica_id in cluster.ids:
+        assert len(get_core(cluster, replica_id).storage.log.entries) < 60
+
+
+@on_cluster("abc")
+async def test_a_replica_behind_the_log_gets_a_chunked_snapshot(cluster):
+    # Guards against a snapshot that is assembled wrongly from chunks.
+    leader = await cluster.wait_leader()
+    behind = others(cluster, leader)[0]
+    await cluster.crash(behind)
+    generator = random.Random(1)
+    for _ in range(40):
+        await cluster.propose(generator.randbytes(20_000))
+    cluster.network.default = LinkFaults(duplicate=1.0, max_delay=0.08, drop=0.02)
+    await cluster.restart(behind)
+    await cluster.wait_equal()
+    assert get_core(cluster, behind).storage.log.base_index >= 20
+
+
+@on_cluster("abcde", voters="abc", snapshot_entries=1000)
+async def test_members_change_one_at_a_time_and_learners_catch_up_first(cluster):
+    # Guards against two changes at once, and a voter that lacks the data.
+    leader = await cluster.wait_leader(["a", "b", "c"])
+    replica = cluster.replicas[leader]
+    await propose_many(cluster, b"", 150)
+    first = asyncio.create_task(replica.add_learner("d"))
+    second = asyncio.create_task(replica.add_learner("e"))
+    results = await asyncio.gather(first, second)
+    codes = {r.failure().code for r in results if isinstance(r, Failure)}
+    assert codes == {"change_in_progress"}
+    learner = next(iter(set(cluster.members().by_id) - {"a", "b", "c"}))
+    await wait_until(lambda: get_core(cluster, learner).applied_index > 150, limit=5.0)
+    await cluster.crash(learner)
+    await asyncio.sleep(1.0)
+    assert (await replica.promote(learner)).failure().code == "not_caught_up"
+    await cluster.restart(learner)
+    await cluster.wait_equal()
+    assert isinstance(await replica.promote(learner), Success)
+    removed = next(key for key in "abc" if key != leader)
+    assert isinstance(await replica.remove(removed), Success)
+    await cluster.crash(removed)
+    await propose_many(cluster, b"x", 3)
+    assert sorted(cluster.members().voters) == sorted(
+        {"a", "b", "c", learner} - {removed}
+    )
+
+
+@on_cluster("abc", seeds=5)
+async def test_a_group_forms_with_the_identities_of_loaded_disks(cluster):
+    # Guards against an identity that is answered before the disk has been read.
+    await asyncio.sleep(2.0)
+    for replica_id in cluster.ids:
+        core = get_core(cluster, replica_id)
+        assert core.is_voter
+        assert core.storage.log.last_index == 1
+
+
+class StubbornTransport:
+    """Answer a cancelled call, as wait_for of Python 3.11 sometimes does."""
+
+    def __init__(self, transport):
+        self.transport = transport
+        self.pending = 0
+
+    def __getattr__(self, name):
+        return getattr(self.transport, name)
+
+    async def call(self, *args, **kwargs):
+        self.pending += 1
+        try:
+            return await self.transport.call(*args, **kwargs)
+        except asyncio.CancelledError:
+            return None
+        finally:
+            self.pending -= 1
+
+
+@on_cluster("abc")
+async def test_a_stop_ends_every_task_although_a_cancellation_is_lost(cluster):
+    # Guards against a stop that waits for ever for a task which goes on.
+    cluster.network.default = LinkFaults(min_delay=0.08, max_delay=0.08)
+    leader = await cluster.wait_leader()
+    for replica_id in others(cluster, leader):
+        core = get_core(cluster, replica_id)
+        core.transport = transport = StubbornTransport(core.transport)
+        await wait_until(lambda at=transport: at.pending)
+        await asyncio.wait_for(cluster.replicas[replica_id].stop(), 5.0)
+
+
+@on_cluster("abc")
+async def test_repeated_chunks_of_a_snapshot_are_not_joined_twice(cluster):
+    # Guards against a snapshot with a part that a repeated message added.
+    leader = await cluster.wait_leader()
+    follower, sender = others(cluster, leader)
+    cluster.network.partition({follower, sender}, {leader})
+    core = get_core(cluster, follower)
+    data = msgpack.packb({40: bytes(100)})
+    for first, last in ((0, 30), (30, 60), (30, 60), (60, len(data))):
+        request = InstallSnapshot(
+            term=core.term,
+            target=core.incarnation,
+            index=core.commit_index + 50,
+            snapshot_term=core.term,
+            members=core.members.pack(),
+            offset=first,
+            data=data[first:last],
+            is_last=last == len(data),
+        )
+        await get_core(cluster, sender).transport.call(follower, request, timeout=1.0)
+    assert cluster.machines[follower].commands == {40: bytes(100)}
