--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module has ``run(seed) -> dict``."""
--- /dev/null
+++ b/benchmarks/_stand_ins.py
@@ -0,0 +1,209 @@
+"""Targets, callers and proxies for benchmarks, each in a process of its own."""
+
+import asyncio
+import contextlib
+import multiprocessing
+import pathlib
+import time
+from collections.abc import AsyncIterator
+from multiprocessing.connection import Connection
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from toucanwood.entry.testing import Fixture, build_declaration, build_service
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello"
+BLOCK = b"x" * 256 * 1024
+START_TIMEOUT_S = 20
+_SESSIONS: list[aiohttp.ClientSession] = []
+
+
+class StubTarget(asyncio.Protocol):
+    """Answer every request head at once; `/big/N` streams N bytes."""
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._sender: asyncio.Task[None] | None = None
+
+    def pause_writing(self) -> None:
+        """Stop the stream."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Continue the stream."""
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Answer the requests in one read; each head arrives in one piece here."""
+        path = data.split(b" ", 2)[1]
+        if b"/big/" in path:
+            size = int(path.rpartition(b"/")[2])
+            self._sender = asyncio.ensure_future(self._stream(size))
+        else:
+            self._transport.write(OK * data.count(b"\r\n\r\n"))
+
+    async def _stream(self, size: int) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        self._transport.write(head % size)
+        for _ in range(size // len(BLOCK)):
+            self._transport.write(BLOCK)
+            await self._can_write.wait()
+
+
+async def start_targets(count: int) -> list[str]:
+    """Listen with stub targets and return their addresses."""
+    loop = asyncio.get_running_loop()
+    addresses = []
+    for _ in range(count):
+        server = await loop.create_server(StubTarget, "127.0.0.1", 0)
+        addresses.append(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    return addresses
+
+
+async def start_entry(targets: list[str]) -> list[str]:
+    """Start an entry in front of the targets and return its address."""
+    declaration = build_declaration(
+        build_service("buscador", "/buscador/", deadline=600.0)
+    )
+    names = {f"t{number}": address for number, address in enumerate(targets)}
+    fixture = Fixture(declaration, names)
+    fixture.dispatcher.takes_turns = True
+    # An entry gives outcomes to the dispatcher; the fake one would keep them all.
+    fixture.dispatcher.outcomes = _Nothing()
+    await fixture.entry.start()
+    return [fixture.entry.address]
+
+
+class _Nothing(list[Any]):
+    def append(self, item: Any) -> None:
+        """Drop the item."""
+
+
+async def start_pass_through(targets: list[str]) -> list[str]:
+    """Start a bare aiohttp proxy without any checks and return its address."""
+    connector = aiohttp.TCPConnector(limit=0)
+    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    _SESSIONS.append(session)
+    turn = 0
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        nonlocal turn
+        turn += 1
+        url = f"http://{targets[turn % len(targets)]}{request.path_qs}"
+        async with session.request(request.method, url) as answer:
+            body = await answer.read()
+            return web.Response(status=answer.status, body=body)
+
+    server = web.Server(handle, access_log=None)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    return [f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"]
+
+
+STARTERS = {
+    "targets": lambda arguments: start_targets(*arguments),
+    "entry": lambda arguments: start_entry(*arguments),
+    "pass_through": lambda arguments: start_pass_through(*arguments),
+}
+
+
+def serve(kind: str, arguments: list[Any], pipe: Connection) -> None:
+    """Run a server until the pipe closes; answer each message with the usage."""
+
+    async def main() -> None:
+        pipe.send(await STARTERS[kind](arguments))
+        stopped = asyncio.Event()
+
+        def answer() -> None:
+            try:
+                pipe.recv()
+                pipe.send(read_usage())
+            except EOFError:
+                stopped.set()
+
+        asyncio.get_running_loop().add_reader(pipe.fileno(), answer)
+        await stopped.wait()
+        for session in _SESSIONS:
+            await session.close()
+
+    asyncio.run(main())
+
+
+def read_usage() -> dict[str, float]:
+    """Return the CPU time in seconds and the resident memory in bytes."""
+    status = pathlib.Path("/proc/self/status").read_text()
+    lines = dict(line.split(":", 1) for line in status.splitlines())
+    return {
+        "cpu": time.process_time(),
+        "rss": int(lines["VmRSS"].split()[0]) * 1024,
+        "peak": int(lines["VmHWM"].split()[0]) * 1024,
+    }
+
+
+class Process:
+    """Run one of the servers in a child process."""
+
+    def __init__(self, kind: str, *arguments: Any) -> None:
+        context = multiprocessing.get_context("spawn")
+        self._pipe, far_end = context.Pipe()
+        self._process = context.Process(
+            target=serve, args=(kind, list(arguments), far_end), daemon=True
+        )
+        self._process.start()
+        far_end.close()
+        if not self._pipe.poll(START_TIMEOUT_S):
+            raise RuntimeError(f"{kind} did not start in {START_TIMEOUT_S} s")
+        self.addresses: list[str] = self._pipe.recv()
+
+    def read_usage(self) -> dict[str, float]:
+        """Return the usage of the child."""
+        self._pipe.send("usage")
+        return self._pipe.recv()
+
+    def stop(self) -> None:
+        """Let the child end."""
+        self._pipe.close()
+        self._process.join()
+
+
+class Caller:
+    """Send requests one after another on one connection."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: str
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._headers = f"Host: h\r\nX-Api-Key: {key}\r\nAccept: */*\r\n\r\n"
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(cls, address: str, key: str) -> AsyncIterator["Caller"]:
+        """Open a connection and close it at the end."""
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            yield cls(reader, writer, key)
+        finally:
+            writer.close()
+
+    async def get(self, path: str) -> None:
+        """Send one request; raise unless it succeeds."""
+        status = await self.get_status(path)
+        if status != 200:
+            raise RuntimeError(f"GET {path} returned the status {status}")
+
+    async def get_status(self, path: str) -> int:
+        """Send one request, drop the response body and return the status."""
+        self._writer.write(f"GET {path} HTTP/1.1\r\n{self._headers}".encode())
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2]
+        left = int(length.partition(b"\r\n")[0])
+        while left:
+            left -= len(await self._reader.read(min(left, len(BLOCK))))
+        return int(head[9:12])
