--- a/toucanwood/entry/_client.py
+++ b/toucanwood/entry/_client.py
@@ -109,14 +109,14 @@
         except (ClientError, HttpProcessingError, EofStream, OSError) as error:
             raise TargetError(f"no valid response: {error!r}") from error
 
-    def is_reusable(self, message: RawResponseMessage, body: StreamReader) -> bool:
+    def is_reusable(self, message: RawResponseMessage) -> bool:
         """Return whether the response ended in a way that allows another request."""
-        return (
-            body.is_eof()
-            and body.exception() is None
-            and not message.should_close
-            and not self._protocol.should_close
-            and not self._transport.is_closing()
+        # The protocol wants to close when the body is not complete, or when more than
+        # one response has arrived.
+        return not (
+            message.should_close
+            or self._protocol.should_close
+            or self._transport.is_closing()
         )
 
     def abort(self) -> None:
--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -152,6 +152,6 @@
             self._may_keep
             and is_sent
             and kind is OutcomeKind.COMPLETED
-            and self._connection.is_reusable(self.message, self.content)
+            and self._connection.is_reusable(self.message)
         )
         self._client.release(self._connection, reusable=reusable)
--- a/toucanwood/entry/_protocol.py
+++ b/toucanwood/entry/_protocol.py
@@ -186,7 +186,11 @@
 
     def log_exception(self, *args: Any, **kw: Any) -> None:
         """Log an error of the server in one line."""
-        log.error("connection_failed", error=repr(kw.get("exc_info")))
+        error = kw.get("exc_info")
+        if isinstance(error, BodyError):
+            log.info("request_malformed", code="body_invalid", peer=self.peername)
+        else:
+            log.error("connection_failed", error=repr(error))
 
 
 def _describe_parse_error(error: Any) -> Verdict:
--- a/toucanwood/entry/tests/test_guard.py
+++ b/toucanwood/entry/tests/test_guard.py
@@ -200,10 +200,16 @@
             async with connect(fixture.entry.address) as (reader, writer):
                 writer.write(data.encode())
                 await asyncio.sleep(0.05)
-        malformed = f"{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n"
-        response = await send_raw(fixture.entry.address, malformed.encode())
+        chunked = f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
+        response = await send_raw(fixture.entry.address, chunked + b"zz\r\n")
         assert read_status(response) == 400
         assert b"Toucanwood-Verdict: not-run" in response
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(chunked)
+            await asyncio.sleep(0.03)
+            writer.write(b"zz\r\n")
+            status, headers, _ = await read_response(reader)
+            assert (status, headers["toucanwood-verdict"]) == (400, "not-run")
         assert fixture.dispatcher.granted == 0
 
     run_with_target(check)
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -254,7 +254,7 @@
         url = f"http://{fixture.entry.address}/buscador/"
         headers = {"X-Api-Key": KEY, "X-Operation": "up"}
         async with FakeTarget("close_before_response") as broken:
-            for first, verdict in (("127.0.0.1:1", None), (broken.address, DOUBT)):
+            for first, verdict in ((broken.address, DOUBT), ("127.0.0.1:1", None)):
                 fixture.dispatcher.targets = {"t0": first, "t1": target.address}
                 async with aiohttp.ClientSession() as session:
                     answer = await session.post(url, data=data, headers=headers)
