--- a/toucanwood/entry/_body.py
+++ b/toucanwood/entry/_body.py
@@ -15,6 +15,7 @@
 MAX_KEPT_BYTES = 64 * 1024
 # An operation record needs the digest of the whole body before dispatch.
 MAX_DIGEST_BYTES = 1024 * 1024
+_ACCEPTED: Result[None, Verdict] = Success(None)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -111,6 +112,6 @@
     """Refuse expectations other than 100-continue."""
     expect = request.headers.get("Expect")
     if expect is None or expect.lower() == "100-continue":
-        return Success(None)
+        return _ACCEPTED
     message = "the only supported expectation is 100-continue"
     return Failure(refuse("expectation_failed", message, status=417))
--- a/toucanwood/entry/_context.py
+++ b/toucanwood/entry/_context.py
@@ -4,7 +4,7 @@
 
 import attrs
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Result, Success
 
 from toucanwood.entry._body import RequestBody
 from toucanwood.entry._client import Progress
@@ -25,9 +25,10 @@
 
 def unwrap(result: Result[T, Verdict]) -> T:
     """Return the value of a success; raise `Refusal` with the verdict otherwise."""
-    if isinstance(result, Failure):
-        raise Refusal(result.failure())
-    return result.unwrap()
+    # The test against the exact class of a success skips the abstract base class.
+    if isinstance(result, Success):
+        return result.unwrap()
+    raise Refusal(result.failure())
 
 
 @attrs.define(kw_only=True)
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from returns.result import Failure
+from returns.result import Success
 
 from toucanwood.entry._body import BodyError
 from toucanwood.entry._client import TargetClient, TargetError, TargetUnreachable
@@ -77,7 +77,7 @@
             deadline=context.deadline,
             exclude=tuple(failed),
         )
-        if isinstance(result, Failure):
+        if not isinstance(result, Success):
             raise Refusal(failure or result.failure())
         lease = result.unwrap()
         record = Attempt(lease.target_id, lease.address, region, loop.time())
--- a/toucanwood/entry/_guard.py
+++ b/toucanwood/entry/_guard.py
@@ -14,6 +14,7 @@
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 _DIGITS = re.compile(r"[0-9]+")
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_ACCEPTED: Result[None, Verdict] = Success(None)
 _UNSUPPORTED_METHODS = frozenset({"CONNECT", "TRACE"})
 
 
@@ -73,7 +74,7 @@
     lengths = headers.getall("Content-Length", ())
     encodings = headers.getall("Transfer-Encoding", ())
     if not lengths and not encodings:
-        return Success(None)
+        return _ACCEPTED
     if encodings and not (is_http11 and _is_only_chunked(encodings)):
         message = "Transfer-Encoding must be 'chunked', in HTTP/1.1"
         return Failure(refuse_malformed("framing_unsupported", message))
