--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -24,6 +24,8 @@
 # A response body up to this size is received in full before the caller gets the first
 # byte, so that a truncated one becomes a clear failure.
 MAX_HELD_BYTES = 64 * 1024
+# Bounds the memory of the kept decisions.
+MAX_KEPT_ERROR = 200
 
 
 class Exchange:
@@ -138,7 +140,7 @@
         record = self.record
         record.elapsed = elapsed
         record.outcome = kind.value
-        record.error = error
+        record.error = error[:MAX_KEPT_ERROR]
         record.connected = self.progress.connected
         record.written = self.progress.written
         record.reused = self.progress.reused
--- a/toucanwood/entry/_proxy.py
+++ b/toucanwood/entry/_proxy.py
@@ -4,6 +4,7 @@
 import itertools
 import secrets
 
+import structlog
 from aiohttp import web
 
 from toucanwood.entry._body import (
@@ -29,6 +30,10 @@
 from toucanwood.entry._routing import Match, Router
 from toucanwood.verdicts import Verdict, doubt, refuse
 
+log = structlog.get_logger()
+
+# Bounds the memory of the kept decisions.
+MAX_KEPT_PATH = 200
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -78,6 +83,12 @@
         except asyncio.CancelledError:
             decision.code = "caller_cancelled"
             raise
+        except Exception as error:
+            if context is not None and _is_caller_gone(context, error):
+                decision.code = "caller_cancelled"
+                return self._relay.abort(context)
+            log.error("request_failed", request=decision.request_id, error=repr(error))
+            return self._fail(decision, context, _describe_error(error))
         finally:
             decision.elapsed = loop.time() - decision.arrived
 
@@ -90,7 +101,7 @@
         decision = Decision(
             request_id=request_id,
             method=request.method,
-            path=path,
+            path=path[:MAX_KEPT_PATH],
             arrived=now,
             revision=self._view.revision,
         )
@@ -211,6 +222,17 @@
     return declared
 
 
+def _is_caller_gone(context: RequestContext, error: Exception) -> bool:
+    """Return whether a write to the caller failed, and not a collaborator."""
+    is_sending = context.response is not None and context.response.prepared
+    return is_sending and isinstance(error, ConnectionError)
+
+
+def _describe_error(error: Exception) -> Verdict:
+    message = f"the request failed: {type(error).__name__}"
+    return refuse("internal_error", message, status=500)
+
+
 def _describe_timeout(context: RequestContext) -> Verdict:
     message = f"no response within {context.decision.deadline:g} s"
     return refuse("deadline_exceeded", message, status=504, retry_after=1)
--- a/toucanwood/entry/tests/test_drain.py
+++ b/toucanwood/entry/tests/test_drain.py
@@ -1,6 +1,7 @@
 """Tests of the graceful shutdown."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 
@@ -106,6 +107,43 @@
     run_with_target(check)
 
 
+async def call_until_refused(address, counts):
+    """Send requests on kept connections until the instance takes no more."""
+    while True:
+        try:
+            async with connect(address) as (reader, writer):
+                await call_until_closed(reader, writer, counts)
+        except ConnectionRefusedError:
+            return
+
+
+async def call_until_closed(reader, writer, counts):
+    while True:
+        writer.write(build_get("/buscador/1"))
+        status, headers, _ = await read_response(reader)
+        counts[status, headers.get("toucanwood-verdict")] += 1
+        if headers.get("connection") == "close":
+            return
+
+
+def test_drain_under_traffic_cuts_no_request():
+    # Guards against requests that get neither a response nor a verdict in a stop.
+    async def check(fixture, target):
+        counts = collections.Counter()
+        address = fixture.entry.address
+        callers = [
+            asyncio.create_task(call_until_refused(address, counts)) for _ in range(30)
+        ]
+        await asyncio.sleep(0.1)
+        drained = await fixture.entry.drain(timeout=10)
+        await asyncio.gather(*callers)
+        assert drained
+        assert set(counts) <= {(200, None), (503, "not-run")}
+        assert counts[200, None] == sum(target.executions.values())
+
+    run_with_target(check)
+
+
 def test_connection_with_unread_bytes_is_not_idle():
     # Guards against a refusal of requests that have arrived but are not yet read.
     async def check(fixture, target):
--- a/toucanwood/entry/tests/test_guard.py
+++ b/toucanwood/entry/tests/test_guard.py
@@ -136,13 +136,13 @@
 
 
 @contextlib.contextmanager
-def shorten_header_timeout(seconds):
-    previous = _protocol.HEADER_TIMEOUT_S
-    _protocol.HEADER_TIMEOUT_S = seconds
+def shorten(name, seconds):
+    previous = getattr(_protocol, name)
+    setattr(_protocol, name, seconds)
     try:
         yield
     finally:
-        _protocol.HEADER_TIMEOUT_S = previous
+        setattr(_protocol, name, previous)
 
 
 async def trickle(writer, data):
@@ -168,7 +168,25 @@
                 assert await reader.read() == b""
                 sender.cancel()
 
-    with shorten_header_timeout(0.2):
+    with shorten("HEADER_TIMEOUT_S", 0.2):
+        run_with_target(check)
+
+
+def test_idle_connection_ends_with_a_verdict():
+    # Guards against an idle connection that closes under a request on its way.
+    async def check(fixture, target):
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/1"))
+            assert (await read_response(reader))[0] == 200
+            await asyncio.sleep(0.3)
+            writer.write(build_get("/buscador/2"))
+            status, headers, _ = await read_response(reader)
+            assert status == 408
+            assert headers["toucanwood-verdict"] == "not-run"
+            assert await reader.read() == b""
+        assert sum(target.executions.values()) == 1
+
+    with shorten("KEEPALIVE_TIMEOUT_S", 0.1):
         run_with_target(check)
 
 
@@ -184,7 +202,7 @@
             fixture.dispatcher.gate.set()
             assert (await read_response(reader))[0] == 200
 
-    with shorten_header_timeout(0.1):
+    with shorten("HEADER_TIMEOUT_S", 0.1):
         run_with_target(check)
 
 
--- a/toucanwood/entry/tests/test_memory.py
+++ b/toucanwood/entry/tests/test_memory.py
@@ -3,6 +3,8 @@
 import asyncio
 import pathlib
 
+import structlog
+
 from toucanwood.entry.testing import Fixture, build_declaration, build_service
 from toucanwood.entry.tests.raw import AUTH, build_get, connect
 
@@ -73,7 +75,10 @@
             await asyncio.sleep(0.5)
             assert read_rss() - before < 16 * MIB
             writer.transport.abort()
-            while fixture.dispatcher.held:
-                await asyncio.sleep(0.01)
+            with structlog.testing.capture_logs() as events:
+                while fixture.dispatcher.held:
+                    await asyncio.sleep(0.01)
+            assert events == [], "a caller that leaves is no fault"
+            assert fixture.dispatcher.outcomes[-1][1].kind.value == "cancelled"
 
     run_download(check)
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -315,6 +315,26 @@
     run_with_target(check)
 
 
+def test_errors_of_a_collaborator_have_a_true_verdict():
+    # Guards against tracebacks for callers, and against false verdicts and lost slots
+    # after a fault of the entry itself.
+    async def check(fixture, target):
+        async def fail(*args, **kwargs):
+            raise RuntimeError("broken")
+
+        fixture.limiter.acquire = fail
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"500" in response and b"Toucanwood-Verdict: not-run" in response
+        assert target.heads == []
+        del fixture.limiter.acquire
+        fixture.entry._proxy._relay.send = fail
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"500" in response and b"Toucanwood-Verdict: may-have-run" in response
+        assert len(target.heads) == 1
+
+    run_with_target(check)
+
+
 def test_decisions_are_kept_up_to_a_limit():
     # Guards against decision records that fill the memory.
     log = DecisionLog(capacity=3)
