--- a/benchmarks/outcomes.py
+++ b/benchmarks/outcomes.py
@@ -30,6 +30,8 @@
 WARM_UP_BYTES = 64 * 1024 * 1024
 DOWNLOAD_BYTES = 1024 * 1024 * 1024
 PATH = "/buscador/x"
+# The bare proxy forwards this path like any other, which makes it the yardstick.
+LOOKUP_PATH = "/.toucanwood/lookup?service=buscador"
 
 
 def run(seed: int) -> dict[str, Any]:
@@ -41,7 +43,8 @@
         return {
             "seed": seed,
             "latency": asyncio.run(_measure_latency(targets, entry, bare)),
-            "load": _measure_load(entry, bare),
+            "load": _measure_load({"entry": entry, "bare": bare}, PATH),
+            "lookups": _measure_load({"entry": entry, "bare": bare}, LOOKUP_PATH),
             "retries": asyncio.run(_measure_retries(seed)),
             "memory": asyncio.run(_measure_memory(entry)),
         }
@@ -85,12 +88,11 @@
     return sorted(samples)[int(len(samples) * fraction)]
 
 
-def _measure_load(entry: Process, bare: Process) -> dict[str, float]:
+def _measure_load(ways: dict[str, Process], path: str) -> dict[str, float]:
     """Divide requests by the CPU time of the proxy's process, which has one thread.
 
     The proxies take turns, so that other load on the machine affects both.
     """
-    ways = {"entry": entry, "bare": bare}
     cpu = dict.fromkeys(ways, 0.0)
     elapsed = dict.fromkeys(ways, 0.0)
     ratios = []
@@ -99,7 +101,7 @@
         for name, process in ways.items():
             before = process.read_usage()["cpu"]
             started = time.perf_counter()
-            asyncio.run(_load(process.addresses[0]))
+            asyncio.run(_load(process.addresses[0], path))
             elapsed[name] += time.perf_counter() - started
             spent[name] = process.read_usage()["cpu"] - before
             cpu[name] += spent[name]
@@ -115,11 +117,11 @@
     return figures
 
 
-async def _load(address: str) -> None:
+async def _load(address: str, path: str) -> None:
     async def call() -> None:
         async with Caller.connect(address, KEY) as caller:
             for _ in range(LOAD_REQUESTS // LOAD_CALLERS):
-                await caller.get(PATH)
+                await caller.get(path)
 
     await asyncio.gather(*(call() for _ in range(LOAD_CALLERS)))
 
--- a/toucanwood/entry/_entry.py
+++ b/toucanwood/entry/_entry.py
@@ -8,7 +8,7 @@
 from aiohttp.http import HttpVersion11
 
 from toucanwood.entry._api import PREFIX, Api, describe_error
-from toucanwood.entry._client import TargetClient
+from toucanwood.entry._client import MAX_IDLE_PER_TARGET, TargetClient
 from toucanwood.entry._collaborators import (
     ClientBlocks,
     Dispatcher,
@@ -45,6 +45,8 @@
 
     `settings` has the attributes of `settings.Settings`. `count_entries` gives the
     number of entries in this region, which share the links to other regions.
+    `max_idle_per_target` bounds the idle connections to a target, which all entries
+    together must keep below the number that it can hold.
     """
 
     def __init__(
@@ -60,10 +62,11 @@
         rank_entries: RankEntries,
         operators: Operators,
         count_entries: Callable[[], int] = lambda: 1,
+        max_idle_per_target: int = MAX_IDLE_PER_TARGET,
     ) -> None:
         self._settings = settings
         self._tasks = TaskGroup()
-        self._client = TargetClient()
+        self._client = TargetClient(max_idle_per_target=max_idle_per_target)
         self._budget = RetryBudget()
         self._decisions = DecisionLog()
         self._pacer = LinkPacer(region=settings.region, count_entries=count_entries)
