--- a/toucanwood/entry/tests/fake_target.py
+++ b/toucanwood/entry/tests/fake_target.py
@@ -36,7 +36,10 @@
 
 
 class FakeTarget:
-    """Answer with the operation's id; `step` names where the next requests fail."""
+    """Answer with the operation's id; `step` names where the next requests fail.
+
+    The further step "answer_early" answers before it reads the body.
+    """
 
     def __init__(self, step="none"):
         self.step = step
@@ -88,6 +91,10 @@
             writer.transport.abort()
             return False
         head = first + await reader.readuntil(b"\r\n\r\n")
+        if self.step == "answer_early":
+            writer.write(b"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            return False
         operation, body = await self._read_request(head.decode(), reader)
         self.heads.append(head.decode())
         self.requests_by_connection[index].append((operation, self.step))
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -280,6 +280,21 @@
     run_with_target(check)
 
 
+def test_answer_before_the_end_of_an_upload_reaches_the_caller():
+    # Guards against uploads that go on, or hang, after the target has refused them.
+    async def check(fixture, target):
+        target.step = "answer_early"
+        head = f"POST /kasse/ HTTP/1.1\r\nHost: h\r\n{AUTH}"
+        for framing in ("Content-Length: 900000", "Transfer-Encoding: chunked"):
+            async with connect(fixture.entry.address) as (reader, writer):
+                chunk = b"30d40\r\n" + b"x" * 200_000 + b"\r\n"
+                writer.write(f"{head}{framing}\r\n\r\n".encode() + chunk)
+                assert (await read_response(reader))[0] == 413
+        assert fixture.dispatcher.held == set()
+
+    run_with_target(check)
+
+
 def test_uploads_that_were_streamed_are_not_sent_again():
     # Guards against a retry that sends what is left of a body as if it were all.
     async def check(fixture, target):
