--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -24,6 +24,8 @@
 # A response body up to this size is received in full before the caller gets the first
 # byte, so that a truncated one becomes a clear failure.
 MAX_HELD_BYTES = 64 * 1024
+# Bounds the memory of the kept decisions.
+MAX_KEPT_ERROR = 200
 
 
 class Exchange:
@@ -118,6 +120,12 @@
         except (ClientError, OSError, RuntimeError) as error:
             raise TargetError(f"the response is truncated: {error}") from error
 
+    def give_up(self) -> None:
+        """Abort the connection, which went silent, and its idle siblings."""
+        if self._connection is not None:
+            self._connection.abort()
+        self.forget_idle()
+
     def forget_idle(self) -> None:
         """Close the idle connections to this target."""
         self._client.forget(self._lease.address)
@@ -132,7 +140,7 @@
         record = self.record
         record.elapsed = elapsed
         record.outcome = kind.value
-        record.error = error
+        record.error = error[:MAX_KEPT_ERROR]
         record.connected = self.progress.connected
         record.written = self.progress.written
         record.reused = self.progress.reused
@@ -152,6 +160,6 @@
             self._may_keep
             and is_sent
             and kind is OutcomeKind.COMPLETED
-            and self._connection.is_reusable(self.message, self.content)
+            and self._connection.is_reusable(self.message)
         )
         self._client.release(self._connection, reusable=reusable)
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from returns.result import Failure
+from returns.result import Success
 
 from toucanwood.entry._body import BodyError
 from toucanwood.entry._client import TargetClient, TargetError, TargetUnreachable
@@ -77,7 +77,7 @@
             deadline=context.deadline,
             exclude=tuple(failed),
         )
-        if isinstance(result, Failure):
+        if not isinstance(result, Success):
             raise Refusal(failure or result.failure())
         lease = result.unwrap()
         record = Attempt(lease.target_id, lease.address, region, loop.time())
@@ -170,12 +170,12 @@
     loop = asyncio.get_running_loop()
     now = loop.time()
     limit = now + (context.deadline - now) * REUSED_WAIT_FRACTION
+    # A timer that aborts the connection costs less than a timeout context.
+    timer = loop.call_at(limit, exchange.give_up)
     try:
-        async with asyncio.timeout_at(limit):
-            await exchange.receive()
-    except TimeoutError as error:
-        exchange.forget_idle()
-        raise TargetError("no response on an established connection") from error
+        await exchange.receive()
+    finally:
+        timer.cancel()
 
 
 def _settle_error(
--- a/toucanwood/entry/_relay.py
+++ b/toucanwood/entry/_relay.py
@@ -2,15 +2,23 @@
 
 from aiohttp import web
 from aiohttp.http import RawResponseMessage
+from aiohttp.web_response import REASON_PHRASES
 
 from toucanwood.entry._client import TargetError
 from toucanwood.entry._collaborators import Answer, OutcomeKind, View
 from toucanwood.entry._context import RequestContext
 from toucanwood.entry._exchange import Exchange
-from toucanwood.entry._forwarding import select_response_headers
+from toucanwood.entry._forwarding import (
+    HOP_BY_HOP,
+    select_headers,
+    select_response_headers,
+)
 from toucanwood.entry._pacing import FREE_BYTES, LinkPacer
 from toucanwood.entry._protocol import CallerConnection
 from toucanwood.entry._responses import REQUEST_ID
+from toucanwood.entry._whole_response import WholeResponse
+
+_NOT_HELD = HOP_BY_HOP | {"content-length"}
 
 
 class Relay:
@@ -43,13 +51,15 @@
 
     def _build_held(
         self, context: RequestContext, message: RawResponseMessage, body: bytes
-    ) -> web.Response:
-        headers = select_response_headers(message.headers)
-        headers[REQUEST_ID] = context.decision.request_id
-        if context.request.method != "HEAD":
-            headers.popall("Content-Length", None)
-        return web.Response(
-            status=message.code, reason=message.reason, headers=headers, body=body
+    ) -> web.StreamResponse:
+        headers = list(select_headers(message.headers, _NOT_HELD))
+        headers.append((REQUEST_ID, context.decision.request_id))
+        return WholeResponse(
+            status=message.code,
+            reason=message.reason,
+            headers=headers,
+            body=body,
+            declared_length=message.headers.get("Content-Length"),
         )
 
     def _build_head(
@@ -70,9 +80,10 @@
         sent = 0
         chunk = exchange.held or await exchange.read_chunk()
         while chunk:
-            if sent + len(chunk) > FREE_BYTES:
-                await self._pace(exchange.record.region, len(chunk))
             sent += len(chunk)
+            paced = min(len(chunk), sent - FREE_BYTES)
+            if paced > 0:
+                await self._pace(exchange.record.region, paced)
             await response.write(chunk)
             chunk = await exchange.read_chunk()
         exchange.finish(OutcomeKind.COMPLETED)
@@ -90,10 +101,12 @@
         return context.response
 
 
-def build_recorded(answer: Answer, request_id: str) -> web.Response:
+def build_recorded(answer: Answer, request_id: str) -> web.StreamResponse:
     """Build the response to a request whose operation has already ended."""
-    response = web.Response(status=answer.status, body=answer.body)
-    for name, value in answer.headers:
-        response.headers.add(name, value)
-    response.headers[REQUEST_ID] = request_id
-    return response
+    headers = [(name, value) for name, value in answer.headers]
+    return WholeResponse(
+        status=answer.status,
+        reason=REASON_PHRASES.get(answer.status, ""),
+        headers=[*headers, (REQUEST_ID, request_id)],
+        body=answer.body or b"",
+    )
--- a/toucanwood/entry/tests/fake_target.py
+++ b/toucanwood/entry/tests/fake_target.py
@@ -7,6 +7,7 @@
 
 STEPS = (
     "none",
+    "large",
     "refuse",
     "accept_and_close",
     "close_after_first_byte",
@@ -35,10 +36,14 @@
 
 
 class FakeTarget:
-    """Answer with the operation's id; `step` names where the next requests fail."""
+    """Answer with the operation's id; `step` names where the next requests fail.
+
+    The further step "answer_early" answers before it reads the body.
+    """
 
     def __init__(self, step="none"):
         self.step = step
+        self.answer = None
         self.executions = Counter()
         self.requests_by_connection = []
         self.cancelled = 0
@@ -86,6 +91,10 @@
             writer.transport.abort()
             return False
         head = first + await reader.readuntil(b"\r\n\r\n")
+        if self.step == "answer_early":
+            writer.write(b"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            return False
         operation, body = await self._read_request(head.decode(), reader)
         self.heads.append(head.decode())
         self.requests_by_connection[index].append((operation, self.step))
@@ -115,9 +124,15 @@
     async def _answer(self, reader, writer, operation, body):
         text = f"{operation}:{len(body)}".encode()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text
+        if self.answer is not None:
+            writer.write(self.answer)
+            return True
         step = self.step
         if step == "close_before_response":
             return False
+        if step == "large":
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE
+            answer += b"x" * LARGE
         if step == "close_in_headers":
             answer = answer[:25]
         elif step == "close_in_body":
--- a/toucanwood/entry/tests/test_drain.py
+++ b/toucanwood/entry/tests/test_drain.py
@@ -1,7 +1,9 @@
 """Tests of the graceful shutdown."""
 
 import asyncio
+import collections
 import contextlib
+import socket
 
 from toucanwood.entry.tests.raw import (
     build_get,
@@ -75,6 +77,89 @@
     run_with_target(check)
 
 
+def send_blocking(address):
+    """Send a request while the event loop stands still."""
+    host, port = address.split(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.sendall(build_get("/buscador/1"))
+    sock.setblocking(False)
+    return sock
+
+
+async def receive_all(sock):
+    loop = asyncio.get_running_loop()
+    parts = []
+    while part := await loop.sock_recv(sock, 65536):
+        parts.append(part)
+    sock.close()
+    return b"".join(parts)
+
+
+def test_drain_serves_connections_that_wait_to_be_accepted():
+    # Guards against a listener that resets its backlog when it closes.
+    async def check(fixture, target):
+        socks = [send_blocking(fixture.entry.address) for _ in range(20)]
+        drain = asyncio.create_task(fixture.entry.drain(timeout=10))
+        for sock in socks:
+            assert b"200 OK" in await receive_all(sock)
+        assert await drain
+
+    run_with_target(check)
+
+
+async def call_until_refused(address, counts):
+    """Send requests on kept connections until the instance takes no more."""
+    while True:
+        try:
+            async with connect(address) as (reader, writer):
+                await call_until_closed(reader, writer, counts)
+        except ConnectionRefusedError:
+            return
+
+
+async def call_until_closed(reader, writer, counts):
+    while True:
+        writer.write(build_get("/buscador/1"))
+        status, headers, _ = await read_response(reader)
+        counts[status, headers.get("toucanwood-verdict")] += 1
+        if headers.get("connection") == "close":
+            return
+
+
+def test_drain_under_traffic_cuts_no_request():
+    # Guards against requests that get neither a response nor a verdict in a stop.
+    async def check(fixture, target):
+        counts = collections.Counter()
+        address = fixture.entry.address
+        callers = [
+            asyncio.create_task(call_until_refused(address, counts)) for _ in range(30)
+        ]
+        await asyncio.sleep(0.1)
+        drained = await fixture.entry.drain(timeout=10)
+        await asyncio.gather(*callers)
+        assert drained
+        assert set(counts) <= {(200, None), (503, "not-run")}
+        assert counts[200, None] == sum(target.executions.values())
+
+    run_with_target(check)
+
+
+def test_connection_with_unread_bytes_is_not_idle():
+    # Guards against a refusal of requests that have arrived but are not yet read.
+    async def check(fixture, target):
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/buscador/1"))
+            await read_response(reader)
+            await asyncio.sleep(0.01)
+            (connection,) = fixture.entry._server.connections
+            assert connection.is_idle()
+            writer.get_extra_info("socket")._sock.send(build_get("/buscador/2"))
+            assert not connection.is_idle()
+            assert (await read_response(reader))[0] == 200
+
+    run_with_target(check)
+
+
 def test_drain_refuses_pipelined_requests_with_a_verdict():
     # Guards against a caller that keeps an instance from stopping, and against
     # pipelined requests that vanish without an answer.
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -5,7 +5,9 @@
 import aiohttp
 
 from toucanwood.entry._client import MIN_IDLE_S
+from toucanwood.entry._decisions import Decision, DecisionLog
 from toucanwood.entry.testing import KEY, OPERATOR_TOKEN
+from toucanwood.entry.tests.fake_target import FakeTarget
 from toucanwood.entry.tests.raw import (
     AUTH,
     build_get,
@@ -15,6 +17,9 @@
     send_raw,
 )
 
+DOUBT = "may-have-run"
+CLOSE = AUTH + "Connection: close\r\n"
+
 
 def parse_head(head):
     lines = head.strip().split("\r\n")
@@ -199,6 +204,38 @@
     run_with_target(check)
 
 
+def test_response_heads_pass_unchanged():
+    # Guards against framing that the entry invents for responses without a body.
+    async def check(fixture, target):
+        answers = {
+            b"204 No Content\r\nX: 1": (204, None),
+            b"304 Not Modified\r\nContent-Length: 7\r\nX: 1": (304, "7"),
+            b"200 OK\r\nContent-Length: 0\r\nX: 1\r\nX: 2": (200, "0"),
+        }
+        for head, expected in answers.items():
+            target.answer = b"HTTP/1.1 " + head + b"\r\n\r\n"
+            data = build_get("/buscador/", AUTH + "Connection: close\r\n")
+            response = await send_raw(fixture.entry.address, data)
+            text, _, body = response.decode().partition("\r\n\r\n")
+            status, headers = int(text[9:12]), parse_head(text)
+            assert (status, headers.get("content-length")) == expected
+            assert response.count(b"X: ") == head.count(b"X: ")
+            assert body == ""
+            assert headers["connection"] == "close"
+        target.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"
+        data = b"HEAD /buscador/ HTTP/1.1\r\nHost: h\r\n" + AUTH.encode()
+        response = await send_raw(
+            fixture.entry.address, data + b"Connection: close\r\n\r\n"
+        )
+        assert b"Content-Length: 7\r\n" in response
+        assert response.endswith(b"\r\n\r\n")
+        target.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: a\rY: b\r\n\r\n"
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"502" in response and b"Y: b" not in response
+
+    run_with_target(check)
+
+
 def test_explain_gives_the_figures_of_a_decision():
     # Guards against decisions that operators cannot reconstruct.
     async def check(fixture, target):
@@ -241,3 +278,83 @@
                     assert await response.text() == "up:2000000"
 
     run_with_target(check)
+
+
+def test_answer_before_the_end_of_an_upload_reaches_the_caller():
+    # Guards against uploads that go on, or hang, after the target has refused them.
+    async def check(fixture, target):
+        target.step = "answer_early"
+        head = f"POST /kasse/ HTTP/1.1\r\nHost: h\r\n{AUTH}"
+        for framing in ("Content-Length: 900000", "Transfer-Encoding: chunked"):
+            async with connect(fixture.entry.address) as (reader, writer):
+                chunk = b"30d40\r\n" + b"x" * 200_000 + b"\r\n"
+                writer.write(f"{head}{framing}\r\n\r\n".encode() + chunk)
+                assert (await read_response(reader))[0] == 413
+        assert fixture.dispatcher.held == set()
+
+    run_with_target(check)
+
+
+def test_uploads_that_were_streamed_are_not_sent_again():
+    # Guards against a retry that sends what is left of a body as if it were all.
+    async def check(fixture, target):
+        data = b"x" * 200_000
+        url = f"http://{fixture.entry.address}/buscador/"
+        headers = {"X-Api-Key": KEY, "X-Operation": "up"}
+        async with FakeTarget("close_before_response") as broken:
+            for first, verdict in ((broken.address, DOUBT), ("127.0.0.1:1", None)):
+                fixture.dispatcher.targets = {"t0": first, "t1": target.address}
+                async with aiohttp.ClientSession() as session:
+                    answer = await session.post(url, data=data, headers=headers)
+                    assert answer.headers.get("Toucanwood-Verdict") == verdict
+                    if verdict is None:
+                        assert await answer.text() == "up:200000"
+        assert target.executions["up"] == 1
+
+    run_with_target(check)
+
+
+def test_failure_of_the_last_attempt_keeps_the_doubt_of_the_first():
+    # Guards against "not run" where only the last of several attempts did not run.
+    async def check(fixture, target):
+        target.step = "close_before_response"
+        fixture.dispatcher.targets["t2"] = "127.0.0.1:1"
+        data = build_get("/buscador/", AUTH + "Connection: close\r\n")
+        response = await send_raw(fixture.entry.address, data)
+        assert b"Toucanwood-Verdict: may-have-run" in response
+        assert b"Retry-After" not in response
+        outcomes = [outcome.kind.value for _, outcome in fixture.dispatcher.outcomes]
+        assert outcomes == ["failed", "unreachable"]
+        assert fixture.limiter.spent == {"a": 1}
+
+    run_with_target(check)
+
+
+def test_errors_of_a_collaborator_have_a_true_verdict():
+    # Guards against tracebacks for callers, and against false verdicts and lost slots
+    # after a fault of the entry itself.
+    async def check(fixture, target):
+        async def fail(*args, **kwargs):
+            raise RuntimeError("broken")
+
+        fixture.limiter.acquire = fail
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"500" in response and b"Toucanwood-Verdict: not-run" in response
+        assert target.heads == []
+        del fixture.limiter.acquire
+        fixture.entry._proxy._relay.send = fail
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"500" in response and b"Toucanwood-Verdict: may-have-run" in response
+        assert len(target.heads) == 1
+
+    run_with_target(check)
+
+
+def test_decisions_are_kept_up_to_a_limit():
+    # Guards against decision records that fill the memory.
+    log = DecisionLog(capacity=3)
+    for number in range(10):
+        log.add(Decision(str(number), "GET", "/", 0.0, 1))
+    assert len(log) == 3
+    assert log.find("6") is None
+    assert log.find("9").request_id == "9"
