Follow demand faster and ask for more from cold

Cause: after a move of traffic the old entry reported its old demand for a second, and a cold entry asked for a few tokens per round trip. Change: a pause of five mean gaps lowers the estimate; an entry with waiting requests asks for a quarter of the burst, an idle one holds an eighth; the leader keeps half of its balance only while another holder has demand.

--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -19,6 +19,8 @@
 IDLE_SHARE = 0.01
 # A share changes only by more than this part of the rate or the burst.
 SHARE_HYSTERESIS = 0.05
+# A holder with less demand (requests/s) has no part of the balance kept for it.
+MIN_DEMAND = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -207,8 +209,11 @@
         self.leases[lease.holder] = self.leases.pop(lease.holder)
 
     def _find_available(self, lease: TokenLease) -> int:
-        """Half of the balance is kept for holders with waiting requests."""
+        """Half of the balance is kept while another holder has demand."""
         whole = int(self.balance)
+        others = (one.demand for one in self.leases.values() if one is not lease)
+        if max(others, default=0.0) < MIN_DEMAND:
+            return whole
         return min(whole, max(lease.waiting, whole // 2))
 
     def _find_limit(self, lease: TokenLease) -> int:
--- a/toucanwood/limits/_demand.py
+++ b/toucanwood/limits/_demand.py
@@ -6,8 +6,11 @@
 
 # The short average follows a burst within a few requests, the long one bridges the
 # gaps of steady traffic.
-SHORT_AVERAGE_S = 0.1
+SHORT_AVERAGE_S = 0.05
 LONG_AVERAGE_S = 1.0
+# With Poisson arrivals, a gap of five mean gaps is rare (0.7%).
+MAX_GAPS = 5.0
+MIN_GAP_S = 1e-4
 
 
 @attrs.define
@@ -27,9 +30,13 @@
         self.long += 1 / LONG_AVERAGE_S
 
     def estimate(self, now: float) -> float:
-        """Return the rate in requests/s; half of a short peak counts."""
+        """Return the rate in requests/s; half of a short peak counts.
+
+        A pause much longer than the usual gap shows that the traffic has gone.
+        """
         self._decay(now)
-        return max(self.long, self.short / 2)
+        gap = max(now - self.used_at, MIN_GAP_S)
+        return min(max(self.long, self.short / 2), MAX_GAPS / gap)
 
     def _decay(self, now: float) -> None:
         elapsed = max(now - self.updated_at, 0.0)
--- a/toucanwood/limits/_limiter.py
+++ b/toucanwood/limits/_limiter.py
@@ -57,7 +57,7 @@
         self._leader_seen_at = -math.inf
         self._is_reachable = True
         self._opens_at = -math.inf
-        self._counts = {"admitted": 0, "waited": 0, "round_trips": 0, "refused": 0}
+        self._counts = {"admitted": 0, "waited": 0, "refused": 0}
         self.service = AccountService(
             transport=transport,
             is_leader=is_leader,
@@ -107,7 +107,7 @@
             if token is None:
                 return Failure(self._refuse(tenant, limits, now))
             self._counts["waited"] += 1
-            self._counts["round_trips"] += tenant.grants != grants
+            tenant.round_trips += tenant.grants != grants
         self._counts["admitted"] += 1
         self._taken[asyncio.current_task()] = token
         return Success(None)
@@ -127,7 +127,11 @@
     def dump(self) -> dict[str, Any]:
         """Return the tokens and waiting requests of every organisation."""
         tenants = {
-            name: {"tokens": one.holding.tokens, "waiting": len(one.waiters)}
+            name: {
+                "tokens": one.holding.tokens,
+                "waiting": len(one.waiters),
+                "round_trips": one.round_trips,
+            }
             for name, one in self._tenants.items()
         }
         return {
--- a/toucanwood/limits/_tenant.py
+++ b/toucanwood/limits/_tenant.py
@@ -19,7 +19,10 @@
 # Tokens are held for the demand of this time, several round trips.
 HORIZON_S = 0.3
 # An idle entry holds this part of the burst for organisations that used it lately.
-STANDBY_PART = 1 / 16
+STANDBY_PART = 1 / 8
+# An entry that runs out of tokens asks for this part of the burst, because its
+# estimate of the demand lags behind a cold start.
+COLD_PART = 1 / 4
 STANDBY_TIME_S = 7200.0
 
 
@@ -35,6 +38,7 @@
     must_report: bool = False
     reported_waiting: int = 0
     grants: int = 0
+    round_trips: int = 0
     timer: asyncio.TimerHandle | None = None
 
     def apply(
@@ -72,6 +76,8 @@
         expected = math.ceil(self.demand.estimate(now) * HORIZON_S)
         is_recent = now - self.demand.used_at < STANDBY_TIME_S
         standby = int(burst * STANDBY_PART) if is_recent else 0
+        if self.waiters:
+            standby = max(standby, int(burst * COLD_PART))
         return min(max(expected, standby), int(burst)) + len(self.waiters)
 
     def find_wanted(self, burst: float, now: float) -> int:
