Cap what idle holders keep and ask again at once when a wish was met

Cause: at 90% load idle entries kept up to three quarters of the burst, so that the balance ran out; a burst from cold had to wait 50 ms between two reports. Change: idle holders together keep a quarter of the burst, given out by the leader and asked for only with renewals; the retry interval applies only after an unmet wish.

--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -19,8 +19,10 @@
 IDLE_SHARE = 0.01
 # A share changes only by more than this part of the rate or the burst.
 SHARE_HYSTERESIS = 0.05
-# A holder with less demand (requests/s) has no part of the balance kept for it.
+# Holders with less demand (requests/s) count as idle and together keep at most this
+# part of the burst; with more, the burst left for the others ran out at 90% load.
 MIN_DEMAND = 1.0
+IDLE_PART = 1 / 4
 
 
 @attrs.define(kw_only=True)
@@ -168,8 +170,6 @@
             lease = TokenLease(holder=holder, ends_at=now + LEADER_TERM_S)
             self.leases[holder] = lease
         lease.limit = self._find_limit(lease)
-        if lease.limit >= 0 or self.uses_shares:
-            return lease
         amount = min(wanted, self._find_available(lease))
         lease.granted += amount
         self.balance -= amount
@@ -210,7 +210,11 @@
 
     def _find_available(self, lease: TokenLease) -> int:
         """Half of the balance is kept while another holder has demand."""
+        if self.uses_shares or self.outstanding > self.burst:
+            return 0
         whole = int(self.balance)
+        if lease.demand < MIN_DEMAND and not lease.waiting:
+            return max(min(whole, self._find_idle_part() - lease.tokens), 0)
         others = (one.demand for one in self.leases.values() if one is not lease)
         if max(others, default=0.0) < MIN_DEMAND:
             return whole
@@ -222,9 +226,14 @@
             return 0
         total = self.outstanding
         if total <= self.burst:
-            return -1
+            is_idle = lease.demand < MIN_DEMAND and not lease.waiting
+            return self._find_idle_part() if is_idle else -1
         return int(lease.tokens * self.burst / total)
 
+    def _find_idle_part(self) -> int:
+        """Return how many tokens one holder without demand may keep."""
+        return int(self.burst * IDLE_PART) // max(len(self.leases), 1)
+
     def _clamp_balance(self) -> None:
         room = max(self.burst - self.outstanding, 0.0)
         self.balance = min(self.balance, room)
--- a/toucanwood/limits/_tenant.py
+++ b/toucanwood/limits/_tenant.py
@@ -18,11 +18,9 @@
 RENEWAL_INTERVAL_S = LEASE_TERM_S / 2
 # Tokens are held for the demand of this time, several round trips.
 HORIZON_S = 0.3
-# An idle entry holds this part of the burst for organisations that used it lately.
-STANDBY_PART = 1 / 8
-# An entry that runs out of tokens asks for this part of the burst, because its
-# estimate of the demand lags behind a cold start.
-COLD_PART = 1 / 4
+# An idle or starved entry asks for this part of the burst, because its estimate of
+# the demand lags behind a start from cold. The leader gives an idle one less.
+STANDBY_PART = 1 / 4
 STANDBY_TIME_S = 7200.0
 
 
@@ -39,6 +37,8 @@
     reported_waiting: int = 0
     grants: int = 0
     round_trips: int = 0
+    goal: int = 0
+    is_met: bool = True
     timer: asyncio.TimerHandle | None = None
 
     def apply(
@@ -53,7 +53,9 @@
         if (lease.number, lease.returned, lease.share_version) != reported:
             self.must_report = True
         self.grants += (lease.granted, lease.share_version) != gained
-        self.is_answered = self.is_answered or sent_at is not None
+        if sent_at is not None:
+            self.is_answered = True
+            self.is_met = lease.granted >= self.goal
 
     def report(self, burst: float, now: float) -> LeaseReport:
         """Return surplus tokens and describe the lease and the demand."""
@@ -64,25 +66,29 @@
         self.is_answered = False
         self.must_report = False
         self.reported_waiting = len(self.waiters)
+        wanted = self.find_wanted(self.find_target(burst, now))
+        self.goal = self.holding.current.granted + wanted
         demand = self.demand.estimate(now) + self.reported_waiting / HORIZON_S
         return self.holding.report(
-            wanted=self.find_wanted(burst, now),
+            wanted=wanted,
             waiting=self.reported_waiting,
             demand=round(demand, 2),
         )
 
-    def find_target(self, burst: float, now: float) -> int:
-        """Return how many tokens this entry expects to need."""
+    def find_expected(self, burst: float, now: float) -> int:
+        """Return how many tokens the demand will need over the horizon."""
         expected = math.ceil(self.demand.estimate(now) * HORIZON_S)
-        is_recent = now - self.demand.used_at < STANDBY_TIME_S
-        standby = int(burst * STANDBY_PART) if is_recent else 0
         if self.waiters:
-            standby = max(standby, int(burst * COLD_PART))
-        return min(max(expected, standby), int(burst)) + len(self.waiters)
+            expected = max(expected, int(burst * STANDBY_PART))
+        return min(expected, int(burst)) + len(self.waiters)
+
+    def find_target(self, burst: float, now: float) -> int:
+        """Return how many tokens to hold, with those for a start from idle."""
+        standby = int(burst * STANDBY_PART) if self._is_recent(now) else 0
+        return max(self.find_expected(burst, now), standby)
 
-    def find_wanted(self, burst: float, now: float) -> int:
+    def find_wanted(self, target: int) -> int:
         """Return how many tokens to ask for; none while half the target is held."""
-        target = self.find_target(burst, now)
         share = self.holding.current.share_rate * HORIZON_S
         held = self.holding.tokens + int(share)
         return target - held if held < target / 2 else 0
@@ -94,11 +100,15 @@
             return age >= RESEND_INTERVAL_S
         if self.must_report:
             return True
-        has_stale_queue = self.reported_waiting and not self.waiters
-        if has_stale_queue or self.find_wanted(burst, now) > 0:
+        if self.find_wanted(self.find_expected(burst, now)) > 0:
+            return self.is_met or age >= RETRY_INTERVAL_S
+        if self.reported_waiting and not self.waiters:
             return age >= RETRY_INTERVAL_S
         return age >= RENEWAL_INTERVAL_S and self._must_renew(now)
 
     def _must_renew(self, now: float) -> bool:
-        is_recent = now - self.demand.used_at < STANDBY_TIME_S
-        return self.holding.tokens > 0 or (is_recent and not self.holding.is_empty)
+        has_lease = not self.holding.is_empty
+        return self.holding.tokens > 0 or (self._is_recent(now) and has_lease)
+
+    def _is_recent(self, now: float) -> bool:
+        return now - self.demand.used_at < STANDBY_TIME_S
