Bound wrongful refusals by tests and stop tokens from going back to quiet entries

Cause: a quiet entry that returned tokens got half of them back in the answer, because it asked for its standby in the same report; a waiting entry got the last of 34 tokens after 135 ms at 12 ms one way. Change: while a holder has waiting requests, only holders with waiting requests get tokens. New tests state the bounds of the refusal cases, the recall and the opening.

--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -212,6 +212,8 @@
         """Half of the balance is kept while another holder has demand."""
         if self.uses_shares or self.outstanding > self.burst:
             return 0
+        if self.is_starved and not lease.waiting:
+            return 0
         whole = int(self.balance)
         if lease.demand < MIN_DEMAND and not lease.waiting:
             return max(min(whole, self._find_idle_part() - lease.tokens), 0)
--- /dev/null
+++ b/toucanwood/limits/tests/test_refusals.py
@@ -0,0 +1,169 @@
+"""Bounds on wrongful refusals and round trips of organisations within their rate."""
+
+import asyncio
+import random
+
+import structlog
+from returns.result import Success
+
+from benchmarks.limits import draw_arrivals
+from toucanwood.limits._account import LEADER_TERM_S
+from toucanwood.limits.testing import Fleet
+from toucanwood.utils import run_virtual
+
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(30))
+
+ENTRIES = 8
+DELAY_S = 0.012
+MAX_REFUSED = 0.001
+MIN_WITHOUT_ROUND_TRIP = 0.99
+
+
+async def start_fleet(limits, entries=ENTRIES):
+    fleet = Fleet(seed=5, limits=limits, entries=entries)
+    fleet.network.default.min_delay = fleet.network.default.max_delay = DELAY_S
+    await fleet.start()
+    await asyncio.sleep(10.0)
+    return fleet
+
+
+def count_round_trips(fleet, name):
+    dumps = [limiter.dump()["organisations"] for limiter in fleet.limiters.values()]
+    return sum(one[name]["round_trips"] for one in dumps if name in one)
+
+
+async def send_all(fleet, arrivals, pick, name="o"):
+    """Return the part refused, the part without a round trip and the waits."""
+    start = fleet.now
+    waits = []
+    before = count_round_trips(fleet, name)
+
+    async def send(at):
+        sent_at = fleet.now
+        if isinstance(await fleet.request(pick(at), name), Success):
+            waits.append(fleet.now - sent_at)
+
+    tasks = []
+    for at in arrivals:
+        await asyncio.sleep(max(start + at - fleet.now, 0.0))
+        tasks.append(asyncio.create_task(send(at)))
+    await asyncio.gather(*tasks)
+    trips = count_round_trips(fleet, name) - before
+    refused = 1 - len(waits) / len(arrivals)
+    return refused, 1 - trips / len(waits), sorted(waits)
+
+
+def check_case(limits, arrivals, pick, *, min_without_round_trip, first=()):
+    async def main():
+        fleet = await start_fleet({"o": limits})
+        if first:
+            await send_all(fleet, first, pick)
+            await asyncio.sleep(3600.0)
+        refused, without, _ = await send_all(fleet, arrivals, pick)
+        assert refused <= MAX_REFUSED, refused
+        assert without >= min_without_round_trip, without
+        assert fleet.find_excess() == 0
+
+    run_virtual(main())
+
+
+def move(at):
+    return f"entry-{int(at // 10) % ENTRIES}"
+
+
+def test_traffic_at_one_entry_is_not_refused():
+    # Guards against a split of the rate over entries that do not need it.
+    arrivals = draw_arrivals(random.Random(2), 36, 60)
+    check_case(
+        (40.0, 80.0),
+        arrivals,
+        lambda _: "entry-3",
+        min_without_round_trip=MIN_WITHOUT_ROUND_TRIP,
+    )
+
+
+def test_traffic_that_moves_every_10_s_is_not_refused():
+    # Guards against tokens that stay at the entry the traffic has left.
+    arrivals = draw_arrivals(random.Random(3), 36, 120)
+    check_case(
+        (40.0, 80.0), arrivals, move, min_without_round_trip=MIN_WITHOUT_ROUND_TRIP
+    )
+
+
+def test_burst_after_an_idle_hour_is_not_refused():
+    # Guards against an idle entry that must ask for every token of a burst.
+    burst = [number / 400 for number in range(80)]
+    check_case(
+        (40.0, 80.0),
+        burst,
+        lambda _: "entry-3",
+        min_without_round_trip=MIN_WITHOUT_ROUND_TRIP,
+        first=burst,
+    )
+
+
+def test_high_rate_with_a_small_burst_is_not_refused():
+    # Guards against a rate that is limited by the burst per round trip. A burst of 20
+    # holds 20 ms of this rate, so a move of traffic always costs some round trips.
+    arrivals = draw_arrivals(random.Random(4), 990, 25)
+    for pick, minimum in ((lambda _: "entry-3", 0.99), (move, 0.95)):
+        check_case((1100.0, 20.0), arrivals, pick, min_without_round_trip=minimum)
+
+
+def test_one_organisation_at_ten_times_its_rate_does_not_slow_the_others():
+    # Guards against queues or messages that all organisations share.
+    async def main():
+        fleet = await start_fleet({"noisy": (40.0, 80.0), "quiet": (40.0, 80.0)})
+        generator = random.Random(6)
+        noisy = draw_arrivals(generator, 400, 20)
+        quiet = draw_arrivals(generator, 30, 20)
+        flood = asyncio.create_task(
+            send_all(fleet, noisy, lambda at: f"entry-{int(at * 97) % 8}", "noisy")
+        )
+        refused, _, waits = await send_all(fleet, quiet, move, "quiet")
+        assert refused == 0
+        assert waits[int(len(waits) * 0.99)] <= 0.1
+        assert (await flood)[0] > 0.8
+        assert fleet.find_excess() == 0
+
+    run_virtual(main())
+
+
+def test_waiting_entry_gets_the_tokens_of_quiet_entries_within_three_round_trips():
+    # Guards against tokens that stay unused at a quiet entry until their lease ends.
+    async def main():
+        fleet = await start_fleet({"o": (20.0, 40.0)}, entries=3)
+        await send_all(fleet, [0.0] * 5, lambda _: "entry-1")
+        await asyncio.sleep(0.2)
+        service = fleet.limiters["entry-0"].dump()["service"]
+        assert service["accounts"]["o"]["balance"] <= 30
+        refused, _, waits = await send_all(fleet, [0.0] * 34, lambda _: "entry-2")
+        assert refused == 0
+        assert waits[-1] <= 6 * DELAY_S + 0.02
+
+    run_virtual(main())
+
+
+def test_new_leader_grants_nothing_until_earlier_leases_have_ended():
+    # Guards against a leader that grants while tokens of earlier leaders, or of its own
+    # earlier lead, can still be spent.
+    async def main():
+        fleet = await start_fleet({"o": (40.0, 80.0)}, entries=4)
+        epochs = set()
+        for name in ("entry-0", "entry-1", "entry-0"):
+            fleet.leader = name
+            await asyncio.sleep(0.2)
+            changed_at = fleet.now
+            calls = [fleet.request("entry-2", "o") for _ in range(100)]
+            await asyncio.gather(*calls)
+            state = fleet.limiters[name].dump()["service"]
+            epochs.add(state["epoch"])
+            if name != "entry-0" or len(epochs) > 1:
+                account = state["accounts"]["o"]
+                assert state["opens_at"] >= changed_at - 0.2 + LEADER_TERM_S - 0.1
+                assert account["balance"] + account["outstanding"] == 0
+            fleet.leader = None
+            await asyncio.sleep(0.5)
+        assert len(epochs) == 3
+
+    run_virtual(main())
