--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -19,6 +19,10 @@
 IDLE_SHARE = 0.01
 # A share changes only by more than this part of the rate or the burst.
 SHARE_HYSTERESIS = 0.05
+# Holders with less demand (requests/s) count as idle and together keep at most this
+# part of the burst; with more, the burst left for the others ran out at 90% load.
+MIN_DEMAND = 1.0
+IDLE_PART = 1 / 4
 
 
 @attrs.define(kw_only=True)
@@ -81,16 +85,21 @@
 class RateAccount:
     """Mint tokens at a rate and lease them, so that no window exceeds its limit.
 
-    `balance` plus the outstanding tokens never exceeds `burst`. Times are monotonic
-    seconds; `rate` is in tokens/s.
+    `balance` plus the outstanding tokens never exceeds `burst`. Nothing is minted
+    before `opens_at`. Times are monotonic seconds; `rate` is in tokens/s.
     """
 
     rate: float = 0.0
     burst: float = 0.0
     balance: float = 0.0
-    updated_at: float
+    opens_at: float
+    updated_at: float = attrs.field()
     leases: dict[Any, TokenLease] = attrs.field(factory=dict)
 
+    @updated_at.default
+    def _start_at_opening(self) -> float:
+        return self.opens_at
+
     @property
     def outstanding(self) -> float:
         """Return the tokens that all holders together may still spend."""
@@ -161,8 +170,6 @@
             lease = TokenLease(holder=holder, ends_at=now + LEADER_TERM_S)
             self.leases[holder] = lease
         lease.limit = self._find_limit(lease)
-        if lease.limit >= 0 or self.uses_shares:
-            return lease
         amount = min(wanted, self._find_available(lease))
         lease.granted += amount
         self.balance -= amount
@@ -173,6 +180,8 @@
     def serve(self, now: float) -> list[TokenLease]:
         """Grant to starved holders in turn and return the leases that changed."""
         self.advance(now)
+        if now < self.opens_at:
+            return []
         if self.uses_shares or self._has_shares():
             return self._balance_shares()
         changed = {}
@@ -200,8 +209,17 @@
         self.leases[lease.holder] = self.leases.pop(lease.holder)
 
     def _find_available(self, lease: TokenLease) -> int:
-        """Half of the balance is kept for holders with waiting requests."""
+        """Half of the balance is kept while another holder has demand."""
+        if self.uses_shares or self.outstanding > self.burst:
+            return 0
+        if self.is_starved and not lease.waiting:
+            return 0
         whole = int(self.balance)
+        if lease.demand < MIN_DEMAND and not lease.waiting:
+            return max(min(whole, self._find_idle_part() - lease.tokens), 0)
+        others = (one.demand for one in self.leases.values() if one is not lease)
+        if max(others, default=0.0) < MIN_DEMAND:
+            return whole
         return min(whole, max(lease.waiting, whole // 2))
 
     def _find_limit(self, lease: TokenLease) -> int:
@@ -210,9 +228,14 @@
             return 0
         total = self.outstanding
         if total <= self.burst:
-            return -1
+            is_idle = lease.demand < MIN_DEMAND and not lease.waiting
+            return self._find_idle_part() if is_idle else -1
         return int(lease.tokens * self.burst / total)
 
+    def _find_idle_part(self) -> int:
+        """Return how many tokens one holder without demand may keep."""
+        return int(self.burst * IDLE_PART) // max(len(self.leases), 1)
+
     def _clamp_balance(self) -> None:
         room = max(self.burst - self.outstanding, 0.0)
         self.balance = min(self.balance, room)
