Abandon operations in doubt at the entry

Cause: the entry never told 'operations' about an operation that may have run, so its attempt stayed open and each resend waited for its whole deadline. Change: the operation runner abandons it; the fault matrix checks that no operation stays open.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,7 +12,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_PARALLEL = 5
-MODULE_TIMEOUT_S = 600
+MODULE_TIMEOUT_S = 240
 
 
 def find_modules() -> list[str]:
--- a/toucanwood/entry/_api.py
+++ b/toucanwood/entry/_api.py
@@ -159,11 +159,15 @@
         )
         return build_json(unwrap(withdrawn))
 
-    async def _add_voter(self, request: web.BaseRequest, item: str) -> web.Response:
+    async def _add_voter(
+        self, request: web.BaseRequest, item: str
+    ) -> web.StreamResponse:
         self._check_operator(request)
         return build_json(unwrap(await self._operators.add_voter(item)))
 
-    async def _remove_voter(self, request: web.BaseRequest, item: str) -> web.Response:
+    async def _remove_voter(
+        self, request: web.BaseRequest, item: str
+    ) -> web.StreamResponse:
         self._check_operator(request)
         return build_json(unwrap(await self._operators.remove_voter(item)))
 
--- a/toucanwood/entry/_collaborators.py
+++ b/toucanwood/entry/_collaborators.py
@@ -120,6 +120,8 @@
 
     async def release(self, operation: Any) -> Any: ...
 
+    def abandon(self, operation: Any) -> None: ...
+
 
 class RegionPlan(Protocol):
     """Choose the region that serves a request; see `steering`."""
--- a/toucanwood/entry/_operation_runner.py
+++ b/toucanwood/entry/_operation_runner.py
@@ -88,9 +88,11 @@
                 exchange = await self._forwarder.forward(context)
                 is_complete = await _hold(exchange)
         except (Refusal, TimeoutError) as error:
-            if not context.may_have_run:
-                await self._settle(self._operations.release(operation))
+            await self._give_up(context, operation)
             return error
+        except BaseException:
+            self._operations.abandon(operation)
+            raise
         message = exchange.message
         headers = select_response_headers(message.headers)
         headers.popall("Content-Length", None)
@@ -102,6 +104,13 @@
         await self._settle(self._operations.finish(operation, answer))
         return exchange, is_complete
 
+    async def _give_up(self, context: RequestContext, operation: Any) -> None:
+        """Release an operation that did not run; leave one in doubt as it is."""
+        if context.may_have_run:
+            self._operations.abandon(operation)
+        else:
+            await self._settle(self._operations.release(operation))
+
     async def _settle(self, step: Awaitable[Any]) -> None:
         """Commit the end of an operation; without it, the operation is in doubt."""
         try:
--- a/toucanwood/entry/testing.py
+++ b/toucanwood/entry/testing.py
@@ -113,6 +113,7 @@
 
     def __init__(self) -> None:
         self.records: dict[tuple[str, str], _Record] = {}
+        self.open: set[tuple[str, str]] = set()
 
     async def begin(
         self, organisation: str, key: str, digest: bytes, *, deadline: float
@@ -121,6 +122,7 @@
         record = self.records.get((organisation, key))
         if record is None:
             self.records[organisation, key] = _Record(digest)
+            self.open.add((organisation, key))
             return Success(SimpleNamespace(operation=(organisation, key)))
         if record.digest != digest:
             message = "the key was used for another request"
@@ -132,12 +134,18 @@
 
     async def finish(self, operation: Any, answer: Answer) -> None:
         """Record the answer."""
+        self.open.remove(operation)
         self.records[operation].answer = answer
 
     async def release(self, operation: Any) -> None:
         """Forget an operation that did not run."""
+        self.open.remove(operation)
         del self.records[operation]
 
+    def abandon(self, operation: Any) -> None:
+        """Leave an operation in doubt."""
+        self.open.remove(operation)
+
 
 @attrs.frozen
 class FakeLease:
--- a/toucanwood/entry/tests/test_faults.py
+++ b/toucanwood/entry/tests/test_faults.py
@@ -119,6 +119,7 @@
         for target in targets:
             check_connections(target)
         assert fixture.dispatcher.held == set(), "a slot was not released"
+        assert fixture.operations.open == set(), "an operation was left open"
 
 
 async def check_resend(session, kind, targets, answer):
