--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -122,6 +122,7 @@
         self.are_measurements_frozen = False
         self.history = []
         self.direct = {}
+        self.homes = []
         self.tasks = set()
 
     # Construction
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -106,6 +106,9 @@
     ),
     deployment: Annotated[str, typer.Option(help="A or B")] = "A",
     seed: int = 1,
+    homes: Annotated[
+        str, typer.Option(help="even, or by-slots of the region")
+    ] = "even",
     output: Annotated[str, typer.Option("--json", help="A file, or - ")] = "-",
 ) -> None:
     """Run one scenario; policies named direct-* use no slot owners."""
@@ -114,7 +117,7 @@
     )
     policies = POLICIES if policy == "all" else policy.split(",")
     lines = [
-        json.dumps(run(scenario, name, deployment=deployment, seed=seed))
+        json.dumps(run(scenario, name, deployment=deployment, seed=seed, homes=homes))
         for name in policies
     ]
     if output == "-":
@@ -123,12 +126,13 @@
         pathlib.Path(output).write_text("\n".join(lines) + "\n")
 
 
-def run(scenario_name, policy, *, deployment="A", seed=1):
+def run(scenario_name, policy, *, deployment="A", seed=1, homes="even"):
     """Run one scenario in virtual time and return its figures."""
     started = time.process_time()
     scenario = SCENARIOS[scenario_name]
     place = DEPLOYMENTS[deployment]
     fleet = Fleet(place, scenario, policy, seed)
+    fleet.homes = list_homes(place, homes)
     run_virtual(run_fleet(fleet, scenario, seed))
     names = {f"o{index}" for index in range(len(SHARES))}
     within = names - {GREEDY} if scenario.has_greedy else names
@@ -140,6 +144,7 @@
     )
     cpu = time.process_time() - started
     head = {"scenario": scenario_name, "policy": policy, "deployment": deployment}
+    head["homes"] = homes
     return {**head, "seed": seed, **figures, "cpu_s": round(cpu, 1)}
 
 
@@ -161,6 +166,19 @@
     await asyncio.sleep(fleet.deployment.deadline)
 
 
+def list_homes(deployment, homes):
+    """Return the home regions that callers have equally often."""
+    if homes == "even":
+        return list(deployment.regions)
+    regions = deployment.regions.items()
+    return [
+        region
+        for centre in deployment.target_centres
+        for region, centres in regions
+        if centre in centres
+    ]
+
+
 def find_rate(deployment, load):
     """Return the requests per second that use a share of all slots."""
     return load * deployment.workers * deployment.slots / deployment.mean_duration
@@ -168,13 +186,13 @@
 
 async def send_requests(fleet, name, rate, scenario, rng):
     """Send requests at random times from callers that cache their lookups."""
-    regions = list(fleet.deployment.regions)
+    homes = fleet.homes
     cached = {}
     while True:
         is_greedy = scenario.has_greedy and name == GREEDY and fleet.is_measuring
         await asyncio.sleep(rng.expovariate(rate * (GREEDY_FACTOR if is_greedy else 1)))
-        caller = rng.randrange(CALLERS_PER_REGION * len(regions))
-        home = regions[caller % len(regions)]
+        caller = rng.randrange(CALLERS_PER_REGION * len(homes))
+        home = homes[caller % len(homes)]
         entries, until = cached.get(caller, (None, 0.0))
         if fleet.now() >= until:
             entries = fleet.look_up(home)
