Publish first weights only after targets could announce, and place them at home

Cause: a leader that planned 0.25 s after the start saw some regions without targets and published weights that sent their callers away.

--- a/toucanwood/dispatch/_owner.py
+++ b/toucanwood/dispatch/_owner.py
@@ -22,8 +22,7 @@
 
 # Holders give up a lease 5 s after the owner last confirmed it. The owner waits longer.
 HOLDER_TIMEOUT_S = 6.0
-# Longest time in s between the grant of a slot and the start of the request, so that no
-# request starts 2 s after its target left.
+# Longest time in s from a grant to the start, so that none starts 2 s after a leave.
 START_LIMIT_S = 1.5
 # Smoothed time in s that a request uses a slot, before any has been observed.
 FIRST_HOLD_TIME_S = 0.1
--- a/toucanwood/steering/_planner.py
+++ b/toucanwood/steering/_planner.py
@@ -20,6 +20,8 @@
 HYSTERESIS = 0.1
 # Older measurements no longer change the desired weights.
 MAX_MEASUREMENT_AGE_S = 10.0
+# Time in s for targets to announce before the first weights of a home are published.
+START_GRACE_S = 10.0
 # Smaller steps wait, because every published step is a record in the replicated log.
 MIN_STEP = 0.01
 
@@ -59,7 +61,8 @@
     A new leader starts from the published weights and moves nothing for one interval.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, now: float) -> None:
+        self._started_at = now
         self._states: dict[tuple[str, str], HomeState] = {}
         self._measurements: dict[str, Measurement] = {}
 
@@ -147,8 +150,13 @@
         published: Weights,
         now: float,
     ) -> dict[str, float]:
+        serves_home = self._measurements[service].slots.get(home, 0.0) > 0
+        placed = {home: 1.0} if serves_home else desired
         is_resumed = bool(published)
-        first = normalise(published) if is_resumed else desired
+        if not is_resumed and now < self._started_at + START_GRACE_S:
+            return {}
+        # Entries have sent all traffic home so far, so that other weights are a shift.
+        first = normalise(published) if is_resumed else placed
         limiter = ShiftLimiter(first, is_resumed=is_resumed, now=now)
         self._states[service, home] = HomeState(limiter, dict(first), desired)
         return {} if is_resumed else dict(first)
--- a/toucanwood/steering/_steering.py
+++ b/toucanwood/steering/_steering.py
@@ -90,7 +90,7 @@
             if not self._inputs.is_leader():
                 self._planner = None
                 continue
-            self._planner = self._planner or RegionPlanner()
+            self._planner = self._planner or RegionPlanner(now=_now())
             await self._publish_steps(self._planner)
 
     async def _publish_steps(self, planner: RegionPlanner) -> None:
