Hand over targets at a stop, end requests on lost slots, one route match

(1) A stopping instance kept its targets until its listener closed, so their slots were unused for seconds. (2) Nothing ended a request whose slot lease was lost, so the owner could give the slot away while it ran. (3) A control instance saw its own changes only at its next poll: a key just issued got 401 for up to 0.5 s. (4) Route matching stood twice, with different rules for partial segments.

--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -79,24 +79,31 @@
 
     def build_workers(self) -> list[dict[str, Any]]:
         """Return every worker, spread over the data centres and their entries."""
+        region_by_centre = {}
         entries_by_centre: dict[str, list[str]] = {}
-        for entry_id, data_centre, _region in list_entries(self.deployment):
+        entries_by_region: dict[str, list[str]] = {}
+        for entry_id, data_centre, region in list_entries(self.deployment):
             address = self.settings[entry_id]["http"]
+            region_by_centre[data_centre] = region
             entries_by_centre.setdefault(data_centre, []).append(address)
+            entries_by_region.setdefault(region, []).append(address)
         centres = sorted(entries_by_centre)
         workers = []
         for group in self.deployment.workers:
             for index in range(group.count):
                 data_centre = centres[index % len(centres)]
-                entries = entries_by_centre[data_centre]
-                shift = index // len(centres) % len(entries)
+                own = entries_by_centre[data_centre]
+                shift = index // len(centres) % len(own)
+                others = entries_by_region[region_by_centre[data_centre]]
+                entries = own[shift:] + own[:shift]
+                entries += [address for address in others if address not in own]
                 workers.append(
                     {
                         "service": group.service,
                         "id": f"{group.service}-{index}",
                         "data_centre": data_centre,
                         "slots": group.slots,
-                        "entries": entries[shift:] + entries[:shift],
+                        "entries": entries,
                         "token": TARGET_TOKEN,
                     }
                 )
--- a/examples/targets.py
+++ b/examples/targets.py
@@ -82,11 +82,12 @@
 
     async def keep_announced(self, session: aiohttp.ClientSession) -> None:
         """Renew the lease; move to another entry when one does not answer."""
-        position = 0
         while True:
-            entry = self.entries[position % len(self.entries)]
-            if not await self.announce(session, entry):
-                position += 1
+            for _ in range(len(self.entries)):
+                if await self.announce(session, self.entries[0]):
+                    break
+                # Tries the others first and comes back to this one last.
+                self.entries.append(self.entries.pop(0))
             await asyncio.sleep(RENEW_INTERVAL_S)
 
     async def announce(self, session: aiohttp.ClientSession, entry: str) -> bool:
--- a/toucanwood/dispatch/_holder.py
+++ b/toucanwood/dispatch/_holder.py
@@ -1,7 +1,7 @@
 """The leases and queue places that one instance holds at all owners."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -21,7 +21,8 @@
     """Allow one request at one target until `deadline`, on the loop's clock.
 
     The request must start before `start_by`. When `lost` is set, the owner can no
-    longer be sure of the lease and the holder must cancel the request.
+    longer be sure of the lease and the holder must cancel the request; `on_lost` is
+    called then.
     """
 
     number: int
@@ -36,6 +37,15 @@
     granted_at: float
     confirmed_at: float
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
+    on_lost: Callable[[], None] | None = None
+
+    def lose(self) -> None:
+        """Tell the holder, once, that the slot is lost."""
+        if self.lost.is_set():
+            return
+        self.lost.set()
+        if self.on_lost is not None:
+            self.on_lost()
 
 
 @attrs.frozen
@@ -134,7 +144,7 @@
         """Mark the leases as lost that no owner has confirmed for too long."""
         for lease in self._held.values():
             if now >= lease.confirmed_at + FENCE_S:
-                lease.lost.set()
+                lease.lose()
         for target_id, claim in list(self._claims.items()):
             if now >= claim.at + CLAIM_MEMORY_S:
                 del self._claims[target_id]
--- a/toucanwood/entry/_collaborators.py
+++ b/toucanwood/entry/_collaborators.py
@@ -53,7 +53,15 @@
 
 
 class SlotLease(Protocol):
-    """Name the target whose slot was acquired; `address` is "host:port"."""
+    """Name the target whose slot was acquired; `address` is "host:port".
+
+    The request must start before `start_by` and end when `on_lost` is called.
+    """
+
+    on_lost: Callable[[], None] | None
+
+    @property
+    def start_by(self) -> float: ...
 
     @property
     def target_id(self) -> str: ...
--- a/toucanwood/entry/_context.py
+++ b/toucanwood/entry/_context.py
@@ -6,10 +6,10 @@
 from aiohttp import web
 from returns.result import Result, Success
 
+from toucanwood.declaration import Route, Service
 from toucanwood.entry._body import RequestBody
 from toucanwood.entry._client import Progress
 from toucanwood.entry._decisions import Decision
-from toucanwood.entry._routing import Match
 from toucanwood.verdicts import Verdict
 
 T = TypeVar("T")
@@ -37,7 +37,8 @@
 
     request: web.BaseRequest
     decision: Decision
-    match: Match
+    route: Route
+    service: Service
     body: RequestBody
     deadline: float
     key: str | None = None
--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -50,6 +50,7 @@
         self._sender: asyncio.Task[None] | None = None
         self._may_keep = False
         self._is_finished = False
+        lease.on_lost = self._abort_lost
 
     async def open(self, *, reuse: bool) -> None:
         """Get a connection to the target; only with `reuse` it is kept afterwards."""
@@ -57,6 +58,8 @@
         self._connection = await self._client.open(
             self._lease.address, reuse=reuse, progress=self.progress
         )
+        if asyncio.get_running_loop().time() >= self._lease.start_by:
+            raise TargetError("the slot was granted too long ago")
 
     async def send(self, method: str, head: bytes, body: RequestBody) -> None:
         """Write the request; a body that is not complete is sent in the background."""
@@ -126,6 +129,11 @@
             self._connection.abort()
         self.forget_idle()
 
+    def _abort_lost(self) -> None:
+        """Cancel the request: its owner may give the slot to another one."""
+        if self._connection is not None:
+            self._connection.abort()
+
     def forget_idle(self) -> None:
         """Close the idle connections to this target."""
         self._client.forget(self._lease.address)
@@ -135,6 +143,7 @@
         if self._is_finished:
             return
         self._is_finished = True
+        self._lease.on_lost = None
         self._release_connection(kind)
         elapsed = asyncio.get_running_loop().time() - self.record.started
         record = self.record
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -105,7 +105,7 @@
         except BaseException:
             _settle_cancellation(context, exchange)
             raise
-        if exchange.message.code in context.match.service.shed_statuses:
+        if exchange.message.code in context.service.shed_statuses:
             exchange.finish(OutcomeKind.SHED)
             context.settle(is_proven_not_run=True)
             message = f"target {exchange.record.target} shed the request"
@@ -132,7 +132,7 @@
             await _receive_soon(context, exchange)
         else:
             await exchange.receive()
-        shed_statuses = context.match.service.shed_statuses
+        shed_statuses = context.service.shed_statuses
         if (
             exchange.message.code not in shed_statuses
             and exchange.declares_small_body()
--- a/toucanwood/entry/_proxy.py
+++ b/toucanwood/entry/_proxy.py
@@ -28,14 +28,13 @@
 from toucanwood.entry._operation_runner import OperationRunner
 from toucanwood.entry._relay import Relay
 from toucanwood.entry._responses import DEADLINE, REQUEST_ID, build_failure
-from toucanwood.entry._routing import Match, Router
+from toucanwood.entry._routing import match_route
 from toucanwood.verdicts import Verdict, doubt, refuse
 
 log = structlog.get_logger()
 
 # Bounds the memory of the kept decisions.
 MAX_KEPT_PATH = 200
-_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
 class Proxy:
@@ -63,7 +62,6 @@
         self._operations = operations
         self._decisions = decisions
         self._on_decision = on_decision
-        self._router = Router(view.declaration)
         self._id_prefix = secrets.token_hex(6)
         self._next_id = itertools.count(1)
 
@@ -115,27 +113,21 @@
     def _build_context(
         self, request: web.BaseRequest, path: str, decision: Decision
     ) -> RequestContext:
-        match = self._match(path)
-        service = match.service
+        route, service = unwrap(match_route(self._view.declaration, path))
         decision.service = service.name
-        decision.access = match.access
-        decision.idempotent = service.idempotent or request.method in _SAFE_METHODS
+        decision.access = route.access
+        decision.idempotent = service.allows_retry(request.method)
         decision.deadline = _choose_deadline(request, service.deadline)
         unwrap(check_expectation(request))
         return RequestContext(
             request=request,
             decision=decision,
-            match=match,
+            route=route,
+            service=service,
             body=RequestBody(request),
             deadline=decision.arrived + decision.deadline,
         )
 
-    def _match(self, path: str) -> Match:
-        declaration = self._view.declaration
-        if self._router.declaration is not declaration:
-            self._router = Router(declaration)
-        return unwrap(self._router.match(path))
-
     async def _serve(self, context: RequestContext) -> web.StreamResponse:
         self._authenticate(context)
         await self._take_token(context)
@@ -151,7 +143,7 @@
             exchange.finish(OutcomeKind.CANCELLED)
 
     def _authenticate(self, context: RequestContext) -> None:
-        if context.match.access == "open":
+        if context.route.is_open:
             return
         key = unwrap(read_key(context.request.headers))
         if key is None:
--- a/toucanwood/entry/testing.py
+++ b/toucanwood/entry/testing.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import hashlib
-from collections.abc import Collection, Mapping
+import math
+from collections.abc import Callable, Collection, Mapping, Sequence
 from types import SimpleNamespace
 from typing import Any
 
 import attrs
 from returns.result import Failure, Result, Success
 
+from toucanwood.declaration import Declaration, Link, Route, Service
 from toucanwood.entry import Announcement, Answer, Entry, Outcome
 from toucanwood.verdicts import Verdict, doubt, refuse
 
@@ -38,23 +40,16 @@
     return settings
 
 
-def build_service(name: str, prefix: str, **changes: Any) -> SimpleNamespace:
+def build_service(name: str, prefix: str, **changes: Any) -> Service:
     """Build a declared service with one route."""
     access = changes.pop("access", "keyed")
-    service = SimpleNamespace(
-        name=name,
-        routes=[SimpleNamespace(prefix=prefix, access=access)],
-        idempotent=True,
-        deadline=2.0,
-        shed_statuses=[503],
-    )
-    vars(service).update(changes)
-    return service
+    fields = {"shed_statuses": frozenset({503}), **changes}
+    return Service(name, (Route(prefix, access),), **fields)
 
 
-def build_declaration(*services: Any, links: Any = ()) -> SimpleNamespace:
+def build_declaration(*services: Service, links: Sequence[Link] = ()) -> Declaration:
     """Build the parts of a declaration that an entry reads."""
-    return SimpleNamespace(services=list(services), links=list(links))
+    return Declaration(services=services, links=tuple(links))
 
 
 class FakeView:
@@ -147,13 +142,15 @@
         self.open.remove(operation)
 
 
-@attrs.frozen
+@attrs.define
 class FakeLease:
     """Name a target."""
 
     target_id: str
     address: str
     number: int
+    start_by: float = math.inf
+    on_lost: Callable[[], None] | None = None
 
 
 class FakeDispatcher:
@@ -167,6 +164,8 @@
         self.announced: list[Announcement] = []
         self.gate: asyncio.Event | None = None
         self.takes_turns = False
+        self.start_by = math.inf
+        self.last_lease: FakeLease | None = None
 
     async def acquire(
         self,
@@ -187,7 +186,9 @@
         name = names[self.granted % len(names) if self.takes_turns else 0]
         self.granted += 1
         self.held.add(self.granted)
-        return Success(FakeLease(name, self.targets[name], self.granted))
+        address = self.targets[name]
+        self.last_lease = FakeLease(name, address, self.granted, self.start_by)
+        return Success(self.last_lease)
 
     def release(self, lease: FakeLease, outcome: Outcome) -> None:
         """Take a slot back; a second release of one lease is an error."""
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -358,3 +358,30 @@
     assert len(log) == 3
     assert log.find("6") is None
     assert log.find("9").request_id == "9"
+
+
+def test_request_ends_when_its_slot_is_lost():
+    # Guards against a request that runs on after the owner gave its slot away.
+    async def check(fixture, target):
+        target.step = "never_answer"
+        async with connect(fixture.entry.address) as (reader, writer):
+            writer.write(build_get("/kasse/", CLOSE).replace(b"GET", b"POST"))
+            while not target.heads:
+                await asyncio.sleep(0.005)
+            fixture.dispatcher.last_lease.on_lost()
+            status, headers, _ = await read_response(reader)
+        assert status == 502 and headers["toucanwood-verdict"] == DOUBT
+        assert fixture.dispatcher.held == set()
+
+    run_with_target(check)
+
+
+def test_request_does_not_start_on_an_old_grant():
+    # Guards against a request that starts after the owner took its slot back.
+    async def check(fixture, target):
+        fixture.dispatcher.start_by = 0.0
+        response = await send_raw(fixture.entry.address, build_get("/kasse/", CLOSE))
+        assert b"Toucanwood-Verdict: not-run" in response
+        assert target.heads == []
+
+    run_with_target(check)
--- a/toucanwood/feed/_publisher.py
+++ b/toucanwood/feed/_publisher.py
@@ -1,6 +1,7 @@
 """The serving side of the feed, on control replicas."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgpack
@@ -49,6 +50,7 @@
         self._encoded_states: dict[int, bytes] = {}
         transport.register(PollState, self.answer_poll)
         transport.register(FetchState, self.answer_fetch)
+        self.on_changes: Callable[[int, list[bytes]], None] | None = None
         catalog.add_listener(self._push)
 
     async def answer_poll(self, sender: str, poll: PollState) -> StateUpdate:
@@ -92,6 +94,8 @@
         self._forget_subscribers()
         if not changes:
             return
+        if self.on_changes is not None:
+            self.on_changes(base_version, changes)
         for peer_id in self._polled:
             self._transport.send(peer_id, PushChanges(base_version, changes))
 
--- a/toucanwood/feed/_subscriber.py
+++ b/toucanwood/feed/_subscriber.py
@@ -70,6 +70,8 @@
         self.leader: str | None = None
         self.polls = 0
         self.switches = 0
+        if publisher is not None:
+            publisher.on_changes = self._take_changes
         transport.register(PushChanges, self._receive_push)
 
     async def start(self) -> None:
--- a/toucanwood/server/_adapters.py
+++ b/toucanwood/server/_adapters.py
@@ -1,18 +1,18 @@
 """Adapters between the entry and the packages that it uses."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
-from returns.result import Result
+from returns.result import Failure, Result
 
 from toucanwood import dispatch, entry
 from toucanwood.entry import OutcomeKind
 from toucanwood.feed import View
 from toucanwood.operations import Begun, Operations, Recorded
 from toucanwood.steering import ClientBlocks, DemandMeter
-from toucanwood.verdicts import Verdict
+from toucanwood.verdicts import Verdict, refuse
 
 OUTCOMES = {
     OutcomeKind.COMPLETED: dispatch.Outcome.OK,
@@ -39,6 +39,7 @@
     """Give the entry the dispatcher's interface with the entry's own types."""
 
     dispatcher: dispatch.Dispatcher
+    is_leaving: Callable[[], bool]
 
     async def acquire(
         self,
@@ -59,7 +60,10 @@
         self.dispatcher.release(lease, translate_outcome(outcome))
 
     async def announce(self, announcement: entry.Announcement) -> Result[Any, Verdict]:
-        """Take over or renew a target."""
+        """Take over or renew a target; a leaving instance sends it elsewhere."""
+        if self.is_leaving():
+            message = "this instance is stopping; announce to another one"
+            return Failure(refuse("instance_stopping", message, status=503))
         return await self.dispatcher.announce(
             dispatch.Announcement(
                 id=announcement.id,
--- a/toucanwood/server/_instance.py
+++ b/toucanwood/server/_instance.py
@@ -261,7 +261,7 @@
             limiter=self.limiter,
             operations=EntryOperations(self.operations),
             plan=self.plan,
-            dispatcher=EntryDispatcher(self.dispatcher),
+            dispatcher=EntryDispatcher(self.dispatcher, self._is_leaving),
             client_blocks=ViewBlocks(self.view),
             rank_entries=self._rank_entries,
             operators=operators,
@@ -299,6 +299,9 @@
             return None
         return organisation.rate, organisation.burst
 
+    def _is_leaving(self) -> bool:
+        return not self.membership.table.own.is_serving
+
     def _is_leader(self) -> bool:
         return self.replica is not None and self.replica.is_leader()
 
