--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -25,6 +25,15 @@
 IDLE_PART = 1 / 4
 
 
+@attrs.frozen
+class Holder:
+    """Identify one lease of one run of an entry."""
+
+    instance_id: str
+    incarnation: str
+    lease: int
+
+
 @attrs.define(kw_only=True)
 class Share:
     """A bucket that a holder fills itself; `rate` is in tokens/s."""
@@ -234,7 +243,12 @@
 
     def _find_idle_part(self) -> int:
         """Return how many tokens one holder without demand may keep."""
-        return int(self.burst * IDLE_PART) // max(len(self.leases), 1)
+        return int(self.burst * IDLE_PART) // max(self._count_instances(), 1)
+
+    def _count_instances(self) -> int:
+        """Count each instance once; its last and its new lease overlap at a renewal."""
+        holders = (lease.holder for lease in self.leases.values())
+        return len({_name_instance(holder) for holder in holders})
 
     def _clamp_balance(self) -> None:
         room = max(self.burst - self.outstanding, 0.0)
@@ -308,3 +322,7 @@
             "outstanding": self.outstanding,
             "holders": len(self.leases),
         }
+
+
+def _name_instance(holder: Any) -> Any:
+    return holder.instance_id if isinstance(holder, Holder) else holder
--- a/toucanwood/limits/_service.py
+++ b/toucanwood/limits/_service.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from toucanwood.limits._account import LEADER_TERM_S, RateAccount, TokenLease
+from toucanwood.limits._account import LEADER_TERM_S, Holder, RateAccount, TokenLease
 from toucanwood.limits._messages import (
     GrantLeases,
     HandOverAccounts,
@@ -20,7 +20,6 @@
     unpack_reports,
 )
 from toucanwood.limits._takeover import (
-    Holder,
     pack_accounts,
     stretch,
     unpack_accounts,
--- a/toucanwood/limits/_takeover.py
+++ b/toucanwood/limits/_takeover.py
@@ -6,6 +6,7 @@
 
 from toucanwood.limits._account import (
     CLOCK_TOLERANCE,
+    Holder,
     RateAccount,
     Share,
     TokenLease,
@@ -13,15 +14,6 @@
 from toucanwood.limits._messages import HandOverAccounts
 
 
-@attrs.frozen
-class Holder:
-    """Identify one lease of one run of an entry."""
-
-    instance_id: str
-    incarnation: str
-    lease: int
-
-
 def pack_accounts(accounts: dict[str, RateAccount], now: float) -> list[Any]:
     """Return the accounts with all times relative to now."""
     return [
