Wake waiting requests when a slot becomes free

Every waiting request ranked the owners again each 50 ms. The directory now sets the events of the requests that wait for a service in a region when an owner appears or gets its first free slot. A check each second remains for what the directory does not report, such as a declared drain.

--- a/toucanwood/dispatch/_acquisition.py
+++ b/toucanwood/dispatch/_acquisition.py
@@ -1,6 +1,7 @@
 """One request's search for a slot over the owners of a region."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 
 import attrs
@@ -18,7 +19,8 @@
 CALL_TIMEOUT_S = 0.3
 MAX_IMMEDIATE_TRIES = 3
 PARALLEL_QUEUES = 2
-RECHECK_S = 0.05
+# Fallback in s for what the directory does not report, such as a declared drain.
+RECHECK_S = 1.0
 RETRY_PAUSE_S = 0.1
 
 
@@ -44,6 +46,7 @@
     transport: Transport
     _refused_numbers: set[int] = attrs.field(factory=set)
     _queued: dict[asyncio.Task[SlotLease | None], str] = attrs.field(factory=dict)
+    _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     _unreachable: set[str] = attrs.field(factory=set)
     _refused: set[str] = attrs.field(factory=set)
     _retry_after: float = 1.0
@@ -68,6 +71,8 @@
         return None
 
     async def _queue(self) -> SlotLease | None:
+        place = self.ask.service, self.ask.region
+        self.directory.watch(*place, self._wake)
         try:
             while self._remaining() > 0:
                 self._open_queues()
@@ -80,6 +85,7 @@
                     return lease
             return None
         finally:
+            self.directory.unwatch(*place, self._wake)
             self._abandon(self._queued)
 
     def _open_queues(self) -> None:
@@ -92,6 +98,7 @@
             # A slot that becomes free elsewhere is worth a further place in a queue.
             if len(self._queued) < PARALLEL_QUEUES or free > 0:
                 task = asyncio.create_task(self._queue_at(owner))
+                task.add_done_callback(self._note_done)
                 self._queued[task] = owner
 
     async def _pause_for_unreachable(self) -> bool:
@@ -103,12 +110,12 @@
         return True
 
     async def _wait_for_queues(self) -> SlotLease | None:
-        timeout = min(RECHECK_S, self._remaining())
-        done, _ = await asyncio.wait(
-            self._queued, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
-        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(RECHECK_S, self._remaining())):
+                await self._wake.wait()
+        self._wake.clear()
         leases = []
-        for task in done:
+        for task in [task for task in self._queued if task.done()]:
             owner = self._queued.pop(task)
             lease = task.result()
             if lease is None and owner not in self._unreachable:
@@ -118,6 +125,9 @@
         self._release(leases[1:])
         return leases[0] if leases else None
 
+    def _note_done(self, task: asyncio.Task[SlotLease | None]) -> None:
+        self._wake.set()
+
     async def _ask_once(self, owner: str) -> SlotLease | None:
         number = self.holder.open_ticket(owner)
         lease = None
--- a/toucanwood/dispatch/_directory.py
+++ b/toucanwood/dispatch/_directory.py
@@ -1,5 +1,6 @@
 """What this instance knows of the free slots at all owners."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -24,6 +25,11 @@
     heard_at: float
     free: int
 
+    @property
+    def place(self) -> tuple[str, str, str]:
+        """Return the owner, service and data centre."""
+        return self.owner, self.share.service, self.share.data_centre
+
 
 class Directory:
     """Rank the owners of a service in a region; forget those that fall silent."""
@@ -45,6 +51,18 @@
         self._shares: dict[tuple[str, str, str], KnownShare] = {}
         self._sequences: dict[str, tuple[int, int]] = {}
         self._suspects: dict[str, float] = {}
+        self._watchers: dict[tuple[str, str], set[asyncio.Event]] = {}
+
+    def watch(self, service: str, region: str, event: asyncio.Event) -> None:
+        """Set `event` whenever an owner appears or gets its first free slot."""
+        self._watchers.setdefault((service, region), set()).add(event)
+
+    def unwatch(self, service: str, region: str, event: asyncio.Event) -> None:
+        """Stop setting `event`."""
+        events = self._watchers[service, region]
+        events.discard(event)
+        if not events:
+            del self._watchers[service, region]
 
     def apply(self, owner: str, delta: DirectoryDelta, now: float) -> None:
         """Take over the shares of one owner; ignore a delta older than the last."""
@@ -54,22 +72,28 @@
         self._sequences[owner] = version
         for fields in delta.shares:
             share = Share(*fields)
-            place = owner, share.service, share.data_centre
-            self._shares[place] = KnownShare(owner, share, now, share.free)
+            self._replace(KnownShare(owner, share, now, share.free))
 
     def set_own(self, shares: Iterable[Share], now: float) -> None:
         """Replace this instance's own shares."""
-        self._forget(self._instance_id)
-        for share in shares:
-            place = self._instance_id, share.service, share.data_centre
-            known = KnownShare(self._instance_id, share, now, share.free)
-            self._shares[place] = known
+        current = [
+            KnownShare(self._instance_id, share, now, share.free) for share in shares
+        ]
+        places = {known.place for known in current}
+        for place in [place for place in self._shares if place[0] == self._instance_id]:
+            if place not in places:
+                del self._shares[place]
+        for known in current:
+            self._replace(known)
 
     def set_free(self, owner: str, service: str, free: int) -> None:
         """Correct the free slots of an owner from a reply."""
         for known in self._shares.values():
             if known.owner == owner and known.share.service == service:
+                was_free = known.free > 0
                 known.free = free
+                if free > 0 and not was_free:
+                    self._wake_watchers(known.share)
 
     def suspect(self, owner: str, now: float) -> None:
         """Rank an unreachable owner last for a moment."""
@@ -163,9 +187,18 @@
         ]
         return usable or shares
 
-    def _forget(self, owner: str) -> None:
-        for place in [place for place in self._shares if place[0] == owner]:
-            del self._shares[place]
+    def _replace(self, known: KnownShare) -> None:
+        before = self._shares.get(known.place)
+        self._shares[known.place] = known
+        is_new = known.share.slots > 0 and (before is None or not before.share.slots)
+        is_freed = known.free > 0 and (before is None or before.free <= 0)
+        if is_new or is_freed:
+            self._wake_watchers(known.share)
+
+    def _wake_watchers(self, share: Share) -> None:
+        region = self._region_of(share.data_centre)
+        for event in self._watchers.get((share.service, region or ""), ()):
+            event.set()
 
 
 class DeltaSource:
--- a/toucanwood/dispatch/tests/test_dispatcher.py
+++ b/toucanwood/dispatch/tests/test_dispatcher.py
@@ -60,6 +60,24 @@
     world.close()
 
 
+def test_waiter_is_woken_by_a_free_slot_at_another_owner():
+    # Guards against a waiter that hears of a slot outside its queues only by the
+    # fallback check after a second.
+    world = World(places={"a": "n1", "b": "n2", "c": "n1"})
+    for number, owner in enumerate("abc"):
+        world.add_target(f"t{number}", world.places[owner], 1, owner)
+    world.wait(4.0)
+    leases = [acquire(world, "a", patience=60.0).unwrap() for _ in range(3)]
+    world.wait(2.5)
+    world.request("a", "y", duration=5.0, deadline=30.0)
+    world.wait(0.013)
+    free = next(lease for lease in leases if lease.owner == "b")
+    release(world, "a", free)
+    world.wait(0.25)
+    assert len(world.targets[free.target_id].running) == 1
+    world.close()
+
+
 def test_lost_release_is_repeated():
     # Guards against a slot that stays taken until the deadline of a long request.
     world = build_world(("t1", "n1", 1, "a"))
