Serve short queues in order of arrival

Cause: the max-min level of the moment orders also the short queues that form at 95% load, so the largest organisation did all the waiting. Longer queues, such as those of a flood, keep the max-min order. Ruled out before: requests that cross regions.

--- a/toucanwood/dispatch/_owner.py
+++ b/toucanwood/dispatch/_owner.py
@@ -32,6 +32,10 @@
 # too long, because one long request can raise the mean far above the usual time.
 EARLY_REFUSAL_FACTOR = 2.0
 MIN_OBSERVATIONS = 16
+# Requests start in order of arrival while the queue takes less than this part of the
+# time that the oldest one has left. Max-min order in every short queue lets the largest
+# organisation do all the waiting: p99 was 1169 ms instead of 545 ms at 95% load.
+SHORT_QUEUE_PART = 0.5
 
 
 class Status(Enum):
@@ -286,13 +290,26 @@
             local = self._registry.count_usage(service, organisation)
             return local + self._fleet.count_usage(service, organisation)
 
-        level = self._find_level(queue, service, region, count_fleet_usage)
+        level = math.inf
+        if not self._is_short(queue, service, targets, now):
+            level = self._find_level(queue, service, region, count_fleet_usage)
         for waiter in queue.iterate_fairly(count_fleet_usage, level):
             allowed = [target for target in free if target.id not in waiter.exclude]
             if allowed and not waiter.is_over(now):
                 return waiter, self._selector.select(allowed, now)
         return None
 
+    def _is_short(
+        self, queue: FairQueue, service: str, targets: list[Target], now: float
+    ) -> bool:
+        oldest = queue.find_oldest()
+        if oldest is None:
+            return True
+        slots = max(sum(target.slots for target in targets), 1)
+        hold_time = self._hold_times.get(service, FIRST_HOLD_TIME_S)
+        wait = len(queue) * hold_time / slots
+        return wait < SHORT_QUEUE_PART * (oldest.deadline - now)
+
     def _find_level(
         self,
         queue: FairQueue,
--- a/toucanwood/dispatch/_queue.py
+++ b/toucanwood/dispatch/_queue.py
@@ -50,6 +50,11 @@
     def __iter__(self) -> Iterator[Waiter]:
         return itertools.chain.from_iterable(self._queues.values())
 
+    def find_oldest(self) -> Waiter | None:
+        """Return the waiter that arrived first; None if nobody waits."""
+        heads = [queue[0] for queue in self._queues.values()]
+        return min(heads, key=lambda waiter: waiter.order, default=None)
+
     def count(self, organisation: str) -> int:
         """Return the number of waiters of an organisation."""
         return len(self._queues.get(organisation, ()))
--- a/toucanwood/dispatch/tests/test_dispatcher.py
+++ b/toucanwood/dispatch/tests/test_dispatcher.py
@@ -167,6 +167,20 @@
     world.close()
 
 
+def test_short_queue_is_served_in_order_of_arrival():
+    # Guards against a large organisation that does all the waiting in short queues.
+    world = build_world(("t1", "n1", 4, "a"))
+    for _ in range(3):
+        world.request("a", "large", duration=20.0, deadline=30.0)
+    world.request("a", "small", duration=0.5, deadline=30.0)
+    world.wait(0.1)
+    for organisation in ("large", "small"):
+        world.request("a", organisation, duration=20.0, deadline=30.0)
+    world.wait(1.0)
+    assert world.results[4:] == [("large", True)]
+    world.close()
+
+
 def test_full_queue_drops_the_longest_organisation():
     # Guards against a flood that fills the queue and shuts out everybody else.
     queue = FairQueue(limit=4)
