--- a/toucanwood/steering/_demand.py
+++ b/toucanwood/steering/_demand.py
@@ -7,7 +7,8 @@
 
 from toucanwood.steering._messages import DemandReport
 
-# Over a shorter time the measured rate is mostly noise, and infinite at the limit.
+# Over a shorter time the measured rate is mostly noise; a division by a subnormal time
+# gives infinity, and the smoothed level then NaN.
 MIN_COLLECT_S = 0.05
 SMOOTHING_S = 5.0
 MAX_REPORT_AGE_S = 5.0
