Bound lookup responses and keep the ranked groups

A lookup sorted the whole member table, drew a hash per member and returned every member. The groups of equally good entries are now kept until the member table or the declaration changes, and a response lists at most 32 entries, at most 16 of one group. The table keeps its list of live members until a record changes.

--- a/toucanwood/membership/_table.py
+++ b/toucanwood/membership/_table.py
@@ -22,6 +22,8 @@
         self._members = {own.id: own}
         self._changed_at: dict[str, float] = {}
         self._sends_left: dict[str, int] = {}
+        self.version = 0
+        self._live: tuple[int, list[Member]] = (-1, [])
 
     def __len__(self) -> int:
         return len(self._members)
@@ -36,7 +38,10 @@
 
     def list_live(self) -> list[Member]:
         """Return the instances that run, as far as is known."""
-        return [member for member in self.list_members() if member.is_live]
+        if self._live[0] != self.version:
+            live = [member for member in self.list_members() if member.is_live]
+            self._live = self.version, live
+        return list(self._live[1])
 
     def merge(self, member: Member, now: float) -> bool:
         """Take over a record if it is newer; return whether the table changed."""
@@ -101,11 +106,13 @@
 
     def _store(self, member: Member, now: float) -> None:
         self._members[member.id] = member
+        self.version += 1
         self._changed_at[member.id] = now
         sends = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self._members) + 1))
         self._sends_left[member.id] = sends
 
     def _forget(self, member_id: str) -> None:
         del self._members[member_id]
+        self.version += 1
         self._changed_at.pop(member_id, None)
         self._sends_left.pop(member_id, None)
--- a/toucanwood/server/_instance.py
+++ b/toucanwood/server/_instance.py
@@ -32,7 +32,7 @@
 )
 from toucanwood.server._metrics import Metrics
 from toucanwood.server._operators import Operators
-from toucanwood.server._ranking import RankedMember, rank_members
+from toucanwood.server._ranking import EntryRanking
 from toucanwood.settings import Settings
 from toucanwood.state import Catalog
 from toucanwood.steering import (
@@ -263,7 +263,7 @@
             plan=self.plan,
             dispatcher=EntryDispatcher(self.dispatcher),
             client_blocks=ViewBlocks(self.view),
-            rank_entries=self._rank_entries,
+            rank_entries=EntryRanking(self.view, self.membership).rank,
             operators=operators,
             count_entries=self._count_entries,
             on_decision=self._record_decision,
@@ -325,9 +325,6 @@
         result = await self.control.submit(command, timeout=WEIGHTS_TIMEOUT_S)
         return result.map(lambda _: True).value_or(False)
 
-    def _rank_entries(self, home_region: str, now: float) -> list[RankedMember]:
-        return rank_members(self.view, self.membership, home_region, now)
-
     def _count_entries(self) -> int:
         region = self.settings.region
         return sum(item.region == region for item in self.membership.list_live())
--- a/toucanwood/steering/__init__.py
+++ b/toucanwood/steering/__init__.py
@@ -2,7 +2,12 @@
 
 from toucanwood.steering._blocks import ClientBlocks
 from toucanwood.steering._demand import DemandMeter
-from toucanwood.steering._entries import rank_entries
+from toucanwood.steering._entries import (
+    group_entries,
+    order_group,
+    rank_entries,
+    sample_group,
+)
 from toucanwood.steering._plan import Capacity, RegionPlan
 from toucanwood.steering._planner import Measurement, RegionPlanner, ServiceRules
 from toucanwood.steering._shift import ShiftLimiter, measure_distance
@@ -20,5 +25,8 @@
     "ShiftLimiter",
     "Steering",
     "measure_distance",
+    "group_entries",
+    "order_group",
     "rank_entries",
+    "sample_group",
 ]
--- a/toucanwood/steering/_entries.py
+++ b/toucanwood/steering/_entries.py
@@ -2,7 +2,8 @@
 
 import hashlib
 import math
-from collections.abc import Collection, Iterable
+import random
+from collections.abc import Collection, Iterable, Sequence
 from typing import Protocol, TypeVar
 
 # Changes the order between lookups, so that callers that cache a list for its whole
@@ -68,14 +69,34 @@
     group the order is random, weighted by spare capacity: a caller that keeps the list
     does not follow a load that has changed since.
     """
+    groups = group_entries(view, members, home_region)
+    return [entry for group in groups for entry in order_group(group, now)]
+
+
+def group_entries(
+    view: _View, members: Iterable[E], home_region: str | None
+) -> list[list[E]]:
+    """Return the groups of equally good entries, the best group first."""
     drains = view.declaration.drains
+    groups: dict[tuple[int, bool], list[E]] = {}
+    for entry in members:
+        place = _grade(entry, drains), entry.region != home_region
+        groups.setdefault(place, []).append(entry)
+    return [groups[place] for place in sorted(groups)]
+
+
+def order_group(group: Iterable[E], now: float) -> list[E]:
+    """Return a group in random order, weighted by spare capacity."""
     rotation = math.floor(now / ROTATION_S)
+    return sorted(group, key=lambda entry: _draw(entry, rotation))
 
-    def order(entry: E) -> tuple[int, bool, float]:
-        is_away = entry.region != home_region
-        return _grade(entry, drains), is_away, _draw(entry, rotation)
 
-    return sorted(members, key=order)
+def sample_group(group: Sequence[E], count: int, now: float) -> Sequence[E]:
+    """Return `count` random entries of a group; all of them if there are fewer."""
+    if len(group) <= count:
+        return group
+    rotation = math.floor(now / ROTATION_S)
+    return random.Random(rotation).sample(group, count)
 
 
 def _grade(entry: Entry, drains: _Drains) -> int:
