--- a/toucanwood/utils/tests/test_virtual_time.py
+++ b/toucanwood/utils/tests/test_virtual_time.py
@@ -7,6 +7,17 @@
 MAX_ROUNDS = 10
 
 
+def test_a_timer_due_now_runs():
+    # Guards against a clock that stops exactly at a timer, which then never runs.
+    async def main():
+        loop = asyncio.get_running_loop()
+        done = asyncio.Event()
+        loop.call_at(loop.time() + 0.00014566925510413033, done.set)
+        await done.wait()
+
+    run_virtual(main())
+
+
 def test_the_clock_reaches_a_deadline_that_is_less_than_a_nanosecond_away():
     # Guards against a loop that fires timers early and never reaches the deadline.
     async def main():
