--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -1,6 +1,6 @@
 """Measure what sharing one fsync between proposals gains.
 
-Run with `python -m benchmarks.consensus`. Three replicas on real files commit
+Run with `python -m benchmarks consensus`. Three replicas on real files commit
 the same number of commands one after another and then concurrently. The result is the
 ratio of the two rates in this run.
 """
@@ -44,16 +44,16 @@
 
 
 @contextlib.asynccontextmanager
-async def start_group(directory: str) -> AsyncIterator[Replica]:
+async def start_group(directory: str, seed: int) -> AsyncIterator[Replica]:
     """Start three replicas and yield the leader."""
-    network = FakeNetwork(1)
+    network = FakeNetwork(seed)
     replicas = [
         Replica(
             transport=network.transport(replica_id),
             storage=Storage(FileDisk(pathlib.Path(directory) / replica_id)),
             machine=CountingMachine(),
             voters=IDS,
-            seed=1,
+            seed=seed,
         )
         for replica_id in IDS
     ]
@@ -96,15 +96,23 @@
     return COMMANDS / (time.perf_counter() - started)
 
 
-async def main() -> None:
-    """Print both rates and their ratio."""
+async def measure(seed: int) -> dict[str, Any]:
+    """Return both rates and their ratio."""
     with tempfile.TemporaryDirectory() as directory:
-        async with start_group(directory) as leader:
+        async with start_group(directory, seed) as leader:
             sequential = await measure_sequential(leader)
             concurrent = await measure_concurrent(leader)
-    print(f"sequential={sequential:.0f}/s concurrent={concurrent:.0f}/s")
-    print(f"ratio={concurrent / sequential:.1f}")
+    return {
+        "sequential_per_s": round(sequential),
+        "concurrent_per_s": round(concurrent),
+        "ratio": round(concurrent / sequential, 1),
+    }
+
+
+def run(seed: int) -> dict[str, Any]:
+    """Return the commands per second and the gain from sharing an fsync."""
+    return asyncio.run(measure(seed))
 
 
 if __name__ == "__main__":
-    asyncio.run(main())
+    print(run(1))
