--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -1,6 +1,7 @@
 """Start an example deployment on loopback and send one request through it."""
 
 import argparse
+import collections
 import json
 import os
 import pathlib
@@ -30,6 +31,7 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.2
+ORDERS_FILE = "orders.txt"
 
 
 class Fleet:
@@ -98,10 +100,18 @@
                         "slots": group.slots,
                         "entries": entries[shift:] + entries[:shift],
                         "token": TARGET_TOKEN,
+                        "orders_path": str(self.folder / ORDERS_FILE),
                     }
                 )
         return workers
 
+    def count_orders(self) -> collections.Counter[str]:
+        """Return how often the targets ran the order of each path."""
+        path = self.folder / ORDERS_FILE
+        if not path.exists():
+            return collections.Counter()
+        return collections.Counter(path.read_text().splitlines())
+
     def spawn(self, name: str, command: list[str]) -> None:
         """Start a process that logs into the fleet's folder."""
         with open(self.folder / f"{name}.log", "ab") as log:
--- a/examples/targets.py
+++ b/examples/targets.py
@@ -1,4 +1,7 @@
-"""Stand-in targets: announce themselves, answer requests, drain on SIGTERM."""
+"""Stand-in targets: announce themselves, answer requests, drain on SIGTERM.
+
+On SIGUSR1 they leave and go on answering, so that late requests can be seen.
+"""
 
 import argparse
 import asyncio
@@ -28,6 +31,7 @@
     slots: int
     entries: list[str]
     token: str = attrs.field(repr=False)
+    orders_path: str = ""
     address: str = ""
     in_flight: int = 0
     orders: int = 0
@@ -53,11 +57,18 @@
             if size:
                 return await self.stream(request, size)
             if request.method != "GET":
-                self.orders += 1
+                self.record_order(request)
             return web.json_response(self.describe(request, body))
         finally:
             self.in_flight -= 1
 
+    def record_order(self, request: web.BaseRequest) -> None:
+        """Count an execution, and append its path to the file of executions."""
+        self.orders += 1
+        if self.orders_path:
+            with open(self.orders_path, "a") as file:
+                file.write(f"{request.path}\n")
+
     def describe(self, request: web.BaseRequest, body: bytes) -> dict[str, Any]:
         """Return what the target received."""
         return {
@@ -105,15 +116,19 @@
                 return response.status < 400
         return False
 
+    async def finish(self, session: aiohttp.ClientSession) -> None:
+        """Leave and finish the running requests."""
+        await self.leave(session)
+        while self.in_flight:
+            await asyncio.sleep(0.05)
+
     async def leave(self, session: aiohttp.ClientSession) -> None:
-        """Leave at every entry and finish the running requests."""
+        """Leave at the first entry that answers."""
         for entry in self.entries:
             url = f"http://{entry}/.toucanwood/targets/{self.id}"
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with session.delete(url):
                     break
-        while self.in_flight:
-            await asyncio.sleep(0.05)
 
 
 async def main(config: dict[str, Any]) -> None:
@@ -130,10 +145,20 @@
         for worker in workers:
             await worker.start()
             tasks.append(asyncio.create_task(worker.keep_announced(session)))
+
+        async def leave_all() -> None:
+            for task in tasks[: len(workers)]:
+                task.cancel()
+            await asyncio.gather(*(worker.leave(session) for worker in workers))
+
+        def start_leaving() -> None:
+            tasks.append(loop.create_task(leave_all()))
+
+        loop.add_signal_handler(signal.SIGUSR1, start_leaving)
         await stopped.wait()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*(worker.leave(session) for worker in workers))
+        await asyncio.gather(*(worker.finish(session) for worker in workers))
     for worker in workers:
         await worker.runner.cleanup()
 
--- /dev/null
+++ b/examples/tests/fixtures.py
@@ -0,0 +1,117 @@
+"""Run a whole fleet as processes on loopback for the end-to-end tests."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import os
+import socket
+import sys
+import time
+
+from examples.fleet import Fleet
+from examples.write_deployments import DEPLOYMENTS
+
+PROGRAM = [sys.executable, "-m", "toucanwood"]
+FIRST_PORT = 15000
+END_PORT = 32000
+PATIENCE_S = 20.0
+
+
+def find_free_ports(count):
+    """Return free ports below the ephemeral range, from which others connect."""
+    ports = []
+    candidates = itertools.cycle(range(FIRST_PORT, END_PORT))
+    start = FIRST_PORT + os.getpid() * count % (END_PORT - FIRST_PORT)
+    for port in itertools.islice(candidates, start - FIRST_PORT, None):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+
+
+@contextlib.contextmanager
+def run_fleet(deployment=DEPLOYMENTS[0], **changed_settings):
+    fleet = Fleet(deployment, program=PROGRAM, ports=find_free_ports(16))
+    for settings in fleet.settings.values():
+        settings.update(changed_settings)
+    try:
+        fleet.start()
+        fleet.keys = {}
+        wait_for(lambda: send(fleet, "norte-1-a", "GET", "/buscador/x")[0] == 200)
+        yield fleet
+    finally:
+        fleet.statuses = fleet.stop()
+        fleet.remove_files()
+
+
+def issue_key(fleet, organisation):
+    if organisation not in fleet.keys:
+        issued = json.loads(fleet.retry(["keys", "issue", organisation]))
+        fleet.keys[organisation] = issued
+    return fleet.keys[organisation]
+
+
+def send(fleet, entry, method, path, *, key=None, body=None, connection=None, **extra):
+    """Send one request and return its status, headers and body."""
+    key = key or issue_key(fleet, "large-1")["secret"]
+    headers = {"Authorization": f"Bearer {key}", **extra}
+    connection = connection or connect(fleet, entry)
+    connection.request(method, path, body=body, headers=headers)
+    response = connection.getresponse()
+    return response.status, response.headers, response.read()
+
+
+def connect(fleet, entry):
+    return http.client.HTTPConnection(fleet.settings[entry]["http"], timeout=PATIENCE_S)
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + PATIENCE_S
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            if condition():
+                return
+        time.sleep(0.05)
+    raise AssertionError("the condition did not become true")
+
+
+def read_error(body):
+    return json.loads(body)["error"]
+
+
+def kill_leader(fleet):
+    kill(fleet, find_leader(fleet))
+
+
+def find_leader(fleet, *, asked="norte-1-a"):
+    return operate(fleet, asked, "GET", "dump")[1]["subscriber"]["leader"]
+
+
+def kill(fleet, name):
+    process = fleet.processes.pop(name)
+    process.kill()
+    process.wait()
+
+
+def operate(fleet, entry, method, path, *, body=None, **headers):
+    """Send one operator request and return its status and JSON body."""
+    token = fleet.environment["TOUCANWOOD_OPERATOR_TOKEN"]
+    path = f"/.toucanwood/{path}"
+    options = {"key": token, "body": body, **headers}
+    status, _, content = send(fleet, entry, method, path, **options)
+    return status, json.loads(content)
+
+
+def apply(fleet, entry, text, revision, request_id):
+    headers = {"If-Match": str(revision), "Toucanwood-Request-Id": request_id}
+    return operate(fleet, entry, "PUT", "declaration", body=text, **headers)
+
+
+def read_declaration(fleet, entry):
+    return operate(fleet, entry, "GET", "declaration")[1]["text"]
+
+
+def read_revision(fleet, entry):
+    return operate(fleet, entry, "GET", "declaration")[1]["revision"]
--- a/examples/tests/test_fleet.py
+++ b/examples/tests/test_fleet.py
@@ -1,84 +1,21 @@
 """End-to-end tests: the whole fleet as processes on loopback."""
 
-import contextlib
-import http.client
-import itertools
 import json
-import os
 import signal
-import socket
-import sys
 import time
 
-from examples.fleet import Fleet
-from examples.write_deployments import DEPLOYMENTS
+from examples.tests.fixtures import (
+    PATIENCE_S,
+    connect,
+    issue_key,
+    kill_leader,
+    read_revision,
+    run_fleet,
+    send,
+    wait_for,
+)
 
-PROGRAM = [sys.executable, "-m", "toucanwood"]
 KEY_LIMIT_S = 5.0
-FIRST_PORT = 15000
-END_PORT = 32000
-PATIENCE_S = 20.0
-
-
-def find_free_ports(count):
-    """Return free ports below the ephemeral range, from which others connect."""
-    ports = []
-    candidates = itertools.cycle(range(FIRST_PORT, END_PORT))
-    start = FIRST_PORT + os.getpid() * count % (END_PORT - FIRST_PORT)
-    for port in itertools.islice(candidates, start - FIRST_PORT, None):
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            ports.append(port)
-        if len(ports) == count:
-            return ports
-
-
-@contextlib.contextmanager
-def run_fleet(deployment=DEPLOYMENTS[0]):
-    fleet = Fleet(deployment, program=PROGRAM, ports=find_free_ports(16))
-    try:
-        fleet.start()
-        fleet.keys = {}
-        wait_for(lambda: send(fleet, "norte-1-a", "GET", "/buscador/x")[0] == 200)
-        yield fleet
-    finally:
-        fleet.statuses = fleet.stop()
-        fleet.remove_files()
-
-
-def issue_key(fleet, organisation):
-    if organisation not in fleet.keys:
-        issued = json.loads(fleet.retry(["keys", "issue", organisation]))
-        fleet.keys[organisation] = issued
-    return fleet.keys[organisation]
-
-
-def send(fleet, entry, method, path, *, key=None, body=None, connection=None, **extra):
-    """Send one request and return its status, headers and body."""
-    key = key or issue_key(fleet, "large-1")["secret"]
-    headers = {"Authorization": f"Bearer {key}", **extra}
-    connection = connection or connect(fleet, entry)
-    connection.request(method, path, body=body, headers=headers)
-    response = connection.getresponse()
-    return response.status, response.headers, response.read()
-
-
-def connect(fleet, entry):
-    return http.client.HTTPConnection(fleet.settings[entry]["http"], timeout=PATIENCE_S)
-
-
-def wait_for(condition):
-    deadline = time.monotonic() + PATIENCE_S
-    while time.monotonic() < deadline:
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            if condition():
-                return
-        time.sleep(0.05)
-    raise AssertionError("the condition did not become true")
-
-
-def read_error(body):
-    return json.loads(body)["error"]
 
 
 def test_keyed_open_unknown_and_withdrawn_keys():
@@ -123,14 +60,6 @@
         assert status == 422 and headers["Toucanwood-Verdict"] == "not-run"
 
 
-def kill_leader(fleet):
-    dump = json.loads(fleet.run_command("dump").stdout)
-    leader = dump["subscriber"]["leader"]
-    process = fleet.processes.pop(leader)
-    process.kill()
-    process.wait()
-
-
 def test_download_is_whole_and_survives_a_planned_stop():
     # Guards against a planned stop that cuts a running download.
     with run_fleet() as fleet:
@@ -164,9 +93,3 @@
         assert second.returncode == 3 and "revision 2 won" in second.stderr
         for entry in fleet.settings:
             wait_for(lambda at=entry: read_revision(fleet, at) == 2)
-
-
-def read_revision(fleet, entry):
-    token = fleet.environment["TOUCANWOOD_OPERATOR_TOKEN"]
-    arguments = fleet, entry, "GET", "/.toucanwood/declaration"
-    return json.loads(send(*arguments, key=token)[2])["revision"]
--- a/toucanwood/utils/_virtual_time.py
+++ b/toucanwood/utils/_virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop whose clock jumps to the next timer, for tests and benchmarks."""
 
 import asyncio
+import math
 import selectors
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -23,7 +24,8 @@
         if timeout is None:
             # No timer and no callback is left, so nothing could ever wake the loop.
             raise RuntimeError("virtual-time loop has nothing left to wait for")
-        self.now += max(timeout, 0.0)
+        # The loop runs a timer only once the clock is past it.
+        self.now = math.nextafter(self.now + max(timeout, 0.0), math.inf)
         return []
 
 
