Keep tokens and leadership available through a planned stop of the leader

Three causes of failed requests, found by a rolling restart of the example fleet:

- The next leader's campaign ran in the handler of the stopping leader's message and was cancelled when that leader closed its connection.
The campaign runs as a task of the replica.
- The next leader granted no tokens for 4.1 s, until all leases had ended, and entries without tokens refused with limiter_unavailable.
The stopping leader now hands its accounts over; only the leader of the very next term uses them.
- Other instances listed a leaving one until gossip arrived, so a caller with a cached list could use a connection as it was closed.
The leaving instance now tells every live instance itself.

--- a/toucanwood/consensus/_election.py
+++ b/toucanwood/consensus/_election.py
@@ -191,7 +191,9 @@
         core = self._core
         is_asked = request.target == core.incarnation and request.term == core.term
         if is_asked and core.is_voter and core.role is Role.FOLLOWER:
-            await self._campaign_safely(is_transfer=True)
+            # The stopping leader closes its connection now, which ends this handler.
+            campaign = self._campaign_safely(is_transfer=True)
+            core.tasks.start(campaign, name="transfer-campaign")
 
 
 def _name_candidate(instance_id: str, incarnation: str) -> str:
--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -126,6 +126,10 @@
         """Return the id of the leader, if one is known."""
         return self._core.leader_id
 
+    def term(self) -> int:
+        """Return the current term; each term has at most one leader."""
+        return self._core.term
+
     def lease_age(self) -> float:
         """Return for how many seconds the applied state may have been out of date.
 
--- a/toucanwood/consensus/tests/test_leadership.py
+++ b/toucanwood/consensus/tests/test_leadership.py
@@ -9,6 +9,7 @@
 from toucanwood.consensus._messages import (
     AppendEntries,
     RequestVote,
+    TimeoutNow,
     VoteReply,
 )
 from toucanwood.consensus.tests.fixtures import (
@@ -322,3 +323,22 @@
         assert sum(log.synced_index >= result.unwrap() for log in logs) >= 2
         assert cluster.leaders() == [leader]
     assert get_core(cluster, leader).term == 1
+
+
+@on_cluster("abc", seeds=3)
+async def test_a_handover_survives_the_end_of_the_connection_that_asked_for_it(cluster):
+    # Guards against a campaign that ends with the connection of the stopping leader,
+    # which leaves the group without a leader until an election timeout.
+    leader = await cluster.wait_leader()
+    successor = next(name for name in cluster.replicas if name != leader)
+    core = get_core(cluster, successor)
+    await wait_until(lambda: core.leader_id == leader, 1.0)
+    get_core(cluster, leader).follow(None)
+    request = TimeoutNow(core.term, core.incarnation)
+    handler = cluster.replicas[successor]._election._campaign_now(leader, request)
+    task = asyncio.create_task(handler)
+    await asyncio.sleep(0)
+    task.cancel()
+    term = core.term
+    await asyncio.sleep(0.2)
+    assert cluster.replicas[successor].is_leader() and core.term == term + 1
--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -47,6 +47,7 @@
     waiting: int = 0
     demand: float = 0.0
     limit: int = -1
+    is_inherited: bool = False
     offered: Share = attrs.field(factory=Share)
     confirmed: Share = attrs.field(factory=Share)
 
@@ -200,6 +201,8 @@
         missing = sum(lease.waiting for lease in self.leases.values())
         recalled = []
         for lease in self.leases.values():
+            if lease.is_inherited:
+                continue
             if missing > 0 and lease.tokens > 0 and not lease.waiting:
                 missing -= lease.tokens
                 recalled.append(lease)
@@ -247,6 +250,10 @@
         """Lower the shares that are too large, then raise others into the room."""
         changed = []
         goals = self._find_share_goals()
+        for lease in self.leases.values():
+            # The holders of an inherited lease don't hear of this leader's shares.
+            if lease.is_inherited:
+                goals.pop(lease.holder)
         for holder, (rate, capacity) in goals.items():
             lease = self.leases[holder]
             if lease.is_settled and self._must_lower(lease, rate, capacity):
--- a/toucanwood/limits/_limiter.py
+++ b/toucanwood/limits/_limiter.py
@@ -4,7 +4,7 @@
 import math
 import secrets
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -43,8 +43,11 @@
         leader: Callable[[], str | None],
         is_leader: Callable[[], bool],
         limits_of: Callable[[str], Limits | None],
+        term: Callable[[], int] = lambda: 0,
+        successors: Callable[[], Iterable[str]] = tuple,
         clock: Callable[[], float] | None = None,
     ) -> None:
+        self._successors = successors
         self._transport = transport
         self._clock = clock or asyncio.get_running_loop().time
         self._leader = leader
@@ -62,6 +65,7 @@
             transport=transport,
             is_leader=is_leader,
             limits_of=limits_of,
+            term=term,
             push=self._push,
             clock=clock,
         )
@@ -81,6 +85,7 @@
         leader = self._leader()
         if leader is not None and self._is_reachable:
             await self._exchange(leader, list(self._tenants.values()))
+        self.service.hand_over(self._successors())
         await self._tasks.stop()
         await self.service.stop()
 
--- a/toucanwood/limits/_messages.py
+++ b/toucanwood/limits/_messages.py
@@ -73,6 +73,41 @@
     grants: list[Any] = attrs.field(factory=list)
 
 
+@attrs.frozen(kw_only=True)
+class AccountState:
+    """State of one account when its leader stops.
+
+    `tokens`, `share_rate` (tokens/s) and `share_capacity` bound what holders may spend
+    until their leases end.
+    """
+
+    organisation: str
+    rate: float = 0.0
+    burst: float = 0.0
+    balance: float = 0.0
+    tokens: int = 0
+    share_rate: float = 0.0
+    share_capacity: float = 0.0
+
+
+@message(63)
+@attrs.frozen
+class HandOverAccounts:
+    """Hand the accounts of the leader of `term` over to the leader of the next term.
+
+    `opens_in` is the time in seconds until the accounts may grant tokens.
+    """
+
+    term: int = 0
+    opens_in: float = 0.0
+    accounts: list[Any] = attrs.field(factory=list)
+
+
+def unpack_accounts(content: list[Any]) -> list[AccountState]:
+    """Build the accounts of a message; extra fields are dropped."""
+    return [_unpack(AccountState, values) for values in content]
+
+
 def pack_items(items: list[Any]) -> list[list[Any]]:
     """Return the fields of each item as a list."""
     return [list(attrs.astuple(item)) for item in items]
--- a/toucanwood/limits/_service.py
+++ b/toucanwood/limits/_service.py
@@ -10,8 +10,10 @@
 import structlog
 
 from toucanwood.limits._account import LEADER_TERM_S, RateAccount, TokenLease
+from toucanwood.limits._handover import Inheritance, pack_accounts
 from toucanwood.limits._messages import (
     GrantLeases,
+    HandOverAccounts,
     LeaseGrant,
     LeaseReport,
     PushLeases,
@@ -56,6 +58,7 @@
         transport: Transport,
         is_leader: Callable[[], bool],
         limits_of: Callable[[str], Limits | None],
+        term: Callable[[], int] = lambda: 0,
         push: Push | None = None,
         clock: Callable[[], float] | None = None,
     ) -> None:
@@ -63,6 +66,9 @@
         self._transport = transport
         self._is_leader = is_leader
         self._limits_of = limits_of
+        self._term = term
+        self._inheritance: Inheritance | None = None
+        self._is_closed = False
         self._push = push or self._send
         self._accounts: dict[str, RateAccount] = {}
         self._recalled_at: dict[str, float] = {}
@@ -75,6 +81,7 @@
         self._served_at = -math.inf
         self._outbox: dict[tuple[str, str], list[LeaseGrant]] = {}
         transport.register(ReportLeases, self.receive)
+        transport.register(HandOverAccounts, self._inherit)
 
     async def start(self) -> None:
         """Serve starved holders in the background."""
@@ -99,6 +106,25 @@
             message.incarnation, self._epoch, opens_in, pack_items(grants)
         )
 
+    def hand_over(self, successors: Iterable[str]) -> None:
+        """Stop granting for good and send the accounts to possible next leaders."""
+        now = self._clock()
+        is_leading = self._check_leadership(now)
+        self._is_closed = True
+        if not is_leading:
+            return
+        for account in self._accounts.values():
+            account.advance(now)
+        message = pack_accounts(
+            self._accounts, term=self._term(), opens_in=max(self._opens_at - now, 0.0)
+        )
+        for successor in successors:
+            if successor != self._transport.instance_id:
+                self._transport.send(successor, message)
+
+    async def _inherit(self, sender: str, message: HandOverAccounts) -> None:
+        self._inheritance = Inheritance(message, self._clock())
+
     def dump(self) -> dict[str, Any]:
         """Return the accounts; they are empty on an instance that does not lead."""
         return {
@@ -109,7 +135,7 @@
 
     def _check_leadership(self, now: float) -> bool:
         """Return whether this instance leads; start anew after another leader."""
-        if not self._is_leader():
+        if self._is_closed or not self._is_leader():
             return False
         if now - self._checked_at > MAX_CHECK_GAP_S:
             self._open(now)
@@ -117,13 +143,21 @@
         return True
 
     def _open(self, now: float) -> None:
-        """Start with empty accounts after all leases of earlier leaders ended."""
+        """Start with the accounts that the last leader handed over.
+
+        Without them, start empty after all leases of earlier leaders ended.
+        """
         self._epoch = secrets.token_hex(4)
         self._opens_at = now + LEADER_TERM_S
         self._accounts.clear()
         self._recalled_at.clear()
         self._starved.clear()
-        log.info("accounts_opened", epoch=self._epoch, opens_in_s=LEADER_TERM_S)
+        inheritance, self._inheritance = self._inheritance, None
+        if inheritance is not None and inheritance.is_for(self._term()):
+            self._opens_at = max(now, inheritance.opens_at)
+            self._accounts = inheritance.build_accounts(now)
+        opens_in = round(self._opens_at - now, 3)
+        log.info("accounts_opened", epoch=self._epoch, opens_in_s=opens_in)
 
     def _answer(self, holder: Holder, report: LeaseReport, now: float) -> LeaseGrant:
         account = self._find_account(report.organisation, now)
--- a/toucanwood/limits/testing.py
+++ b/toucanwood/limits/testing.py
@@ -93,6 +93,7 @@
         self.limits = dict(limits)
         self.names = [f"entry-{index}" for index in range(entries)]
         self.leader: str | None = self.names[0]
+        self.term = 1
         self.limiters: dict[str, Limiter] = {}
         self.oracles = {name: Oracle([(0.0, one)]) for name, one in limits.items()}
         self._clock_rates = clock_rates
@@ -123,6 +124,8 @@
             leader=lambda: self.leader,
             is_leader=lambda: self.leader == name,
             limits_of=self.limits.get,
+            term=lambda: self.term,
+            successors=lambda: self.names,
             clock=self.find_clock(name),
         )
         self.limiters[name] = limiter
--- a/toucanwood/membership/_membership.py
+++ b/toucanwood/membership/_membership.py
@@ -99,20 +99,24 @@
 
     async def stop(self) -> None:
         """Tell other instances that this one has left and stop probing."""
-        self.announce(MemberState.LEFT)
         await self._tasks.stop()
-        updates = self._take_updates()
-        for member in self.table.list_live():
-            if member.id != self.table.own.id:
-                self._transport.send(member.id, Probe(updates))
+        self.announce(MemberState.LEFT)
 
     def listen(self, listener: Callable[[Member], None]) -> None:
         """Call `listener` with each record that changes."""
         self._listeners.append(listener)
 
     def announce(self, state: MemberState) -> None:
-        """Publish a new state of this instance."""
+        """Tell every live instance a new state of this one.
+
+        Gossip alone takes several probe intervals, in which others would go on
+        listing an instance that leaves.
+        """
         self.table.change_own(state, self._now())
+        updates = [self.table.own.to_wire()]
+        for member in self.table.list_live():
+            if member.id != self.table.own.id:
+                self._transport.send(member.id, Probe(updates, self.own_load))
 
     def list_live(self) -> list[Member]:
         """Return the instances that run, this one too."""
--- a/toucanwood/membership/tests/test_membership.py
+++ b/toucanwood/membership/tests/test_membership.py
@@ -139,3 +139,17 @@
 def test_merge_gives_the_same_table_in_any_order():
     # Guards against tables that differ for good after crossed messages.
     check_merge_order()
+
+
+def test_every_instance_hears_at_once_that_one_leaves():
+    # Guards against lookup responses that list an instance until gossip arrives, after
+    # which callers with a cached list use it when it no longer listens.
+    async def main():
+        fleet = await start_fleet(FakeNetwork(1))
+        await asyncio.sleep(DETECTION_S)
+        fleet["c"].announce(MemberState.LEAVING)
+        await asyncio.sleep(0.1)
+        for item in fleet.values():
+            assert item.table.find("c").state is MemberState.LEAVING
+
+    run_virtual(main())
--- a/toucanwood/server/_instance.py
+++ b/toucanwood/server/_instance.py
@@ -209,6 +209,8 @@
             leader=self._find_leader,
             is_leader=self._is_leader,
             limits_of=self._find_limits,
+            term=lambda: self.replica.term() if self.replica else 0,
+            successors=self._list_replicas,
         )
         self.operations = Operations(submitter=self.control)
 
