--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -122,15 +122,15 @@
         """Return whether this replica leads and holds a valid lease."""
         return self._leadership.is_leader()
 
-    @property
-    def term(self) -> int:
-        """Return the current term; while `is_leader` holds, the one it leads in."""
-        return self._core.term
-
     def leader(self) -> str | None:
         """Return the id of the leader, if one is known."""
         return self._core.leader_id
 
+    @property
+    def term(self) -> int:
+        """Return the current term; each term has at most one leader."""
+        return self._core.term
+
     def lease_age(self) -> float:
         """Return for how many seconds the applied state may have been out of date.
 
