Fill up an idle entry's tokens when it reports anyway

Whether it held 10 or 20 depended on the timing of the last burst. Change: a report that is sent anyway asks for all that is missing.

--- a/toucanwood/limits/_tenant.py
+++ b/toucanwood/limits/_tenant.py
@@ -67,7 +67,9 @@
         self.is_answered = False
         self.must_report = False
         self.reported_waiting = len(self.waiters)
-        wanted = self.find_wanted(self.find_target(burst, now))
+        # A report that is sent anyway asks for the rest too; an idle entry would
+        # otherwise stay at half of what it needs to start with.
+        wanted = self._find_missing(self.find_target(burst, now))
         self.goal = self.holding.current.granted + wanted
         demand = self.demand.estimate(now) + self.reported_waiting / HORIZON_S
         return self.holding.report(
@@ -90,9 +92,12 @@
 
     def find_wanted(self, target: int) -> int:
         """Return how many tokens to ask for; none while half the target is held."""
+        missing = self._find_missing(target)
+        return missing if missing > target / 2 else 0
+
+    def _find_missing(self, target: int) -> int:
         share = self.holding.current.share_rate * HORIZON_S
-        held = self.holding.tokens + int(share)
-        return target - held if held < target / 2 else 0
+        return max(target - self.holding.tokens - int(share), 0)
 
     def is_due(self, burst: float, now: float) -> bool:
         """Return whether a report should be sent now."""
