--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -219,6 +219,9 @@
     program = [sys.executable, "-m", "toucanwood"]
     if arguments.program:
         program = [str(pathlib.Path(arguments.program).resolve())]
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A background job of a shell script starts with SIGINT ignored.
+        signal.signal(number, signal.default_int_handler)
     fleet = Fleet(deployment, program=program)
     print(f"logs and data are in {fleet.folder}")
     is_answered = False
--- a/tools/build_binary.sh
+++ b/tools/build_binary.sh
@@ -3,6 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 venv=${TOUCANWOOD_VENV:-.venv}
+rm -rf build dist
 mkdir -p dist
 "$venv/bin/shiv" --quiet --compressed --reproducible \
   --console-script toucanwood --python "/usr/bin/env python3" \
