Serve nothing before the first proven state; shorten token leases to 2 s

Cause: (1) an entry did not look at the view's first proof: after a restart it could serve a state older than before, or answer 404 for declared routes. (2) After a crash of the leader nothing is granted until the lost leases end. Change: routes, lookups, the declaration and new keys get 503 state_stale until the first proof. Token leases end after 2 s instead of 4 s.

--- a/toucanwood/entry/_api.py
+++ b/toucanwood/entry/_api.py
@@ -23,6 +23,7 @@
 from toucanwood.entry._decisions import DecisionLog
 from toucanwood.entry._guard import read_bearer
 from toucanwood.entry._responses import REQUEST_ID, build_json
+from toucanwood.entry._routing import check_ready
 from toucanwood.verdicts import Verdict, doubt, refuse
 
 PREFIX = "/.toucanwood/"
@@ -81,6 +82,7 @@
         raise Refusal(refuse("path_unknown", "no such path", status=404))
 
     async def _look_up(self, request: web.BaseRequest, _: str) -> web.StreamResponse:
+        check_ready(self._view)
         service = request.query.get("service", "")
         names = {item.name for item in self._view.declaration.services}
         if service not in names:
@@ -134,12 +136,14 @@
         self, request: web.BaseRequest, _: str
     ) -> web.StreamResponse:
         self._check_operator(request)
+        check_ready(self._view)
         revision, text = self._operators.read_declaration()
         headers = {"ETag": f'"{revision}"'}
         return build_json({"revision": revision, "text": text}, headers=headers)
 
     async def _issue_key(self, request: web.BaseRequest, _: str) -> web.StreamResponse:
         self._check_operator(request)
+        check_ready(self._view)
         value = await _read_json(request)
         organisation = value.get("organisation")
         if not isinstance(organisation, str) or not organisation:
--- a/toucanwood/entry/_collaborators.py
+++ b/toucanwood/entry/_collaborators.py
@@ -93,6 +93,9 @@
 class View(Protocol):
     """Read the replicated state; see `feed`."""
 
+    @property
+    def is_ready(self) -> bool: ...
+
     @property
     def revision(self) -> int: ...
 
--- a/toucanwood/entry/_proxy.py
+++ b/toucanwood/entry/_proxy.py
@@ -28,7 +28,7 @@
 from toucanwood.entry._operation_runner import OperationRunner
 from toucanwood.entry._relay import Relay
 from toucanwood.entry._responses import DEADLINE, REQUEST_ID, build_failure
-from toucanwood.entry._routing import match_route
+from toucanwood.entry._routing import check_ready, match_route
 from toucanwood.verdicts import Verdict, doubt, refuse
 
 log = structlog.get_logger()
@@ -113,6 +113,7 @@
     def _build_context(
         self, request: web.BaseRequest, path: str, decision: Decision
     ) -> RequestContext:
+        check_ready(self._view)
         route, service = unwrap(match_route(self._view.declaration, path))
         decision.service = service.name
         decision.access = route.access
--- a/toucanwood/entry/_routing.py
+++ b/toucanwood/entry/_routing.py
@@ -3,9 +3,25 @@
 from returns.result import Failure, Result, Success
 
 from toucanwood.declaration import Declaration, Route, Service
+from toucanwood.entry._collaborators import View
+from toucanwood.entry._context import Refusal
 from toucanwood.entry._guard import normalise_path, refuse_malformed
 from toucanwood.verdicts import Verdict, refuse
 
+STALE_RETRY_S = 1.0
+
+
+def check_ready(view: View) -> None:
+    """Raise `Refusal` until the state has been proven current once.
+
+    A restarted instance could otherwise serve an older revision than before, or
+    refuse a declared route as unknown.
+    """
+    if not view.is_ready:
+        message = "this instance has not learned the current state yet"
+        verdict = refuse("state_stale", message, status=503, retry_after=STALE_RETRY_S)
+        raise Refusal(verdict)
+
 
 def match_route(
     declaration: Declaration, path: str
--- a/toucanwood/entry/testing.py
+++ b/toucanwood/entry/testing.py
@@ -56,6 +56,7 @@
     """Know a few keys; `withdrawn` keys are refused."""
 
     def __init__(self, declaration: Any) -> None:
+        self.is_ready = True
         self.revision = 1
         self.declaration = declaration
         self.keys = {KEY: "a", "key-of-b": "b"}
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -385,3 +385,16 @@
         assert target.heads == []
 
     run_with_target(check)
+
+
+def test_instance_without_a_proven_state_refuses_for_now():
+    # Guards against a restarted instance that serves an older revision, or tells
+    # callers that a declared route or service does not exist.
+    async def check(fixture, target):
+        fixture.view.is_ready = False
+        for path in ("/abierto/", "/.toucanwood/lookup?service=buscador"):
+            response = await send_raw(fixture.entry.address, build_get(path, CLOSE))
+            assert b" 503 " in response and b"state_stale" in response
+        assert target.heads == []
+
+    run_with_target(check)
--- a/toucanwood/limits/_account.py
+++ b/toucanwood/limits/_account.py
@@ -7,7 +7,7 @@
 from toucanwood.utils import check_range
 
 # A lease ends this long after its holder sent the request, by the holder's clock.
-LEASE_TERM_S = 4.0
+LEASE_TERM_S = 2.0
 # Clock rates of two instances may differ by this fraction.
 CLOCK_TOLERANCE = 0.01
 # The leader counts a lease longer than its holder does, whatever their clocks.
