--- a/toucanwood/limits/tests/test_account.py
+++ b/toucanwood/limits/tests/test_account.py
@@ -1,6 +1,7 @@
 """Tests of the rate account and of the holder's side of a lease."""
 
 from toucanwood.limits import RateAccount
+from toucanwood.limits._account import LEASE_TERM_S
 from toucanwood.limits._holding import Holding
 from toucanwood.limits._messages import LeaseGrant
 
@@ -42,12 +43,13 @@
     account = make_account()
     lease = lend(account, 10, 100.0)
     assert lease.granted == 10
-    account.advance(103.0)
+    now = 100.0 + 0.75 * LEASE_TERM_S
+    account.advance(now)
     assert (account.balance, account.outstanding) == (10.0, 10)
     for _ in range(2):
-        account.report("a", spent=4, returned=2, now=103.0)
+        account.report("a", spent=4, returned=2, now=now)
         assert (account.balance, account.outstanding) == (12.0, 4)
-    account.report("a", spent=3, returned=1, now=103.0)
+    account.report("a", spent=3, returned=1, now=now)
     assert account.outstanding == 4
 
 
@@ -56,9 +58,9 @@
     account = make_account()
     lend(account, 10, 100.0)
     # The holder's clock may be 1% slower than the leader's.
-    account.advance(100.0 + 4.0 * 1.01 / 0.99)
+    account.advance(100.0 + LEASE_TERM_S * 1.01 / 0.99)
     assert account.outstanding == 10
-    account.advance(104.5)
+    account.advance(100.0 + 1.125 * LEASE_TERM_S)
     assert account.outstanding == 0
     assert account.balance < 20.0
 
@@ -104,13 +106,13 @@
         assert account.balance + account.outstanding == 0
 
 
-def test_holder_gives_a_lease_up_4_s_after_the_request_was_sent():
+def test_holder_gives_a_lease_up_one_term_after_the_request_was_sent():
     # Guards against a late answer that prolongs a lease beyond the leader's count.
     holding = Holding(organisation="o")
     grant = LeaseGrant(organisation="o", lease=1, granted=5)
-    holding.apply(grant, "e", sent_at=0.0, now=3.5)
-    assert holding.take(3.99) is not None
-    assert count_takes(holding, 4.0) == 0
+    holding.apply(grant, "e", sent_at=0.0, now=0.9 * LEASE_TERM_S)
+    assert holding.take(LEASE_TERM_S - 0.01) is not None
+    assert count_takes(holding, LEASE_TERM_S) == 0
     assert holding.current.number == 2
 
 
@@ -127,8 +129,8 @@
         assert count_takes(holding, now) == 5
     late = Holding(organisation="o")
     grant = LeaseGrant(organisation="o", lease=1, granted=50)
-    late.apply(grant, "e", sent_at=0.0, now=4.0)
-    assert count_takes(late, 4.0) == 0
+    late.apply(grant, "e", sent_at=0.0, now=LEASE_TERM_S)
+    assert count_takes(late, LEASE_TERM_S) == 0
 
 
 def test_repeated_and_reordered_grants_change_nothing():
@@ -144,11 +146,12 @@
     # Guards against a new leader whose answers prolong leases that it never counted.
     holding = make_holding()
     closed = LeaseGrant(organisation="o", lease=1, is_closed=True)
-    holding.apply(closed, "new", sent_at=3.0, now=3.0)
+    late = LEASE_TERM_S - 1.0
+    holding.apply(closed, "new", sent_at=late, now=late)
     grant = LeaseGrant(organisation="o", lease=2, granted=1)
-    holding.apply(grant, "new", sent_at=3.0, now=3.0)
-    assert holding.take(3.9) is not None
-    assert count_takes(holding, 4.1) == 1
+    holding.apply(grant, "new", sent_at=late, now=late)
+    assert holding.take(LEASE_TERM_S - 0.1) is not None
+    assert count_takes(holding, LEASE_TERM_S + 0.1) == 1
 
 
 def test_idle_holders_keep_a_quarter_of_the_burst_together():
