--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,13 +8,12 @@
 import asyncio
 import json
 import math
-import pathlib
 import random
 import subprocess
 import sys
 import time
 from functools import partial
-from typing import Annotated, Any
+from typing import Any
 
 import structlog
 import typer
@@ -38,6 +37,7 @@
     fill_keys,
     fill_operations,
 )
+from benchmarks._output import build_command
 from benchmarks._slopes import count_bytes, fit, measure_cpu
 from toucanwood.declaration import Declaration
 from toucanwood.dispatch import Announcement, Dispatcher
@@ -318,19 +318,5 @@
     }
 
 
-def main(
-    seed: int = 1,
-    json_path: Annotated[
-        str, typer.Option("--json", help="file, or - for stdout")
-    ] = "-",
-) -> None:
-    """Write the figures as JSON."""
-    text = json.dumps(run(seed), indent=2)
-    if json_path == "-":
-        print(text)
-    else:
-        pathlib.Path(json_path).write_text(text + "\n")
-
-
 if __name__ == "__main__":
-    typer.run(main)
+    typer.run(build_command(run))
--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -13,8 +13,10 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import typer
 from returns.result import Success
 
+from benchmarks._output import build_command
 from toucanwood.consensus import FileDisk, Replica, Storage
 from toucanwood.peering.testing import FakeNetwork
 
@@ -115,4 +117,4 @@
 
 
 if __name__ == "__main__":
-    print(run(1))
+    typer.run(build_command(run))
--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -7,17 +7,17 @@
 """
 
 import contextlib
-import json
 import os
 import pathlib
 import signal
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from typing import Annotated, Any
+from typing import Any
 
 import typer
 
+from benchmarks._output import build_command
 from examples.fleet import Fleet
 from examples.tests.fixtures import (
     apply,
@@ -164,19 +164,5 @@
     return costs
 
 
-def main(
-    seed: int = 1,
-    json_path: Annotated[
-        str, typer.Option("--json", help="file, or - for stdout")
-    ] = "-",
-) -> None:
-    """Write the figures as JSON."""
-    text = json.dumps(run(seed), indent=2)
-    if json_path == "-":
-        print(text)
-    else:
-        pathlib.Path(json_path).write_text(text)
-
-
 if __name__ == "__main__":
-    typer.run(main)
+    typer.run(build_command(run))
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -5,11 +5,9 @@
 """
 
 import asyncio
-import json
-import pathlib
 import random
 from collections.abc import Awaitable, Callable
-from typing import Annotated, Any
+from typing import Any
 
 import attrs
 import msgpack
@@ -17,6 +15,7 @@
 import typer
 from returns.result import Success
 
+from benchmarks._output import build_command
 from toucanwood.limits._messages import LeaseReport, ReportLeases, pack_items
 from toucanwood.limits.testing import Fleet, Oracle
 from toucanwood.peering import encode_message
@@ -369,19 +368,5 @@
     }
 
 
-def main(
-    seed: int = 1,
-    json_path: Annotated[
-        str, typer.Option("--json", help="file, or - for stdout")
-    ] = "-",
-) -> None:
-    """Write the figures as JSON."""
-    text = json.dumps(run(seed), indent=2)
-    if json_path == "-":
-        print(text)
-    else:
-        pathlib.Path(json_path).write_text(text)
-
-
 if __name__ == "__main__":
-    typer.run(main)
+    typer.run(build_command(run))
--- a/benchmarks/outcomes.py
+++ b/benchmarks/outcomes.py
@@ -7,15 +7,14 @@
 """
 
 import asyncio
-import json
-import pathlib
 import random
 import statistics
 import time
-from typing import Annotated, Any
+from typing import Any
 
 import typer
 
+from benchmarks._output import build_command
 from benchmarks._stand_ins import Caller, Process, start_targets
 from toucanwood.entry.testing import KEY, Fixture, build_declaration, build_service
 
@@ -179,17 +178,5 @@
     }
 
 
-def main(
-    json_path: Annotated[str, typer.Option("--json", help="file, or - for stdout")],
-    seed: int = 1,
-) -> None:
-    """Run the benchmark and write the figures as JSON."""
-    text = json.dumps(run(seed), indent=2)
-    if json_path == "-":
-        print(text)
-    else:
-        pathlib.Path(json_path).write_text(text + "\n")
-
-
 if __name__ == "__main__":
-    typer.run(main)
+    typer.run(build_command(run))
