--- a/toucanwood/dispatch/_acquisition.py
+++ b/toucanwood/dispatch/_acquisition.py
@@ -7,10 +7,10 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from toucanwood.dispatch._decisions import Status
 from toucanwood.dispatch._directory import Directory
 from toucanwood.dispatch._holder import LeaseHolder, SlotLease
 from toucanwood.dispatch._messages import AcquireSlot, ReleaseSlot, SlotReply
-from toucanwood.dispatch._owner import Status
 from toucanwood.dispatch._service import MAX_WAIT_S, SlotService
 from toucanwood.dispatch._target import Outcome
 from toucanwood.peering import PeerUnavailable, Transport
--- a/toucanwood/dispatch/_owner.py
+++ b/toucanwood/dispatch/_owner.py
@@ -1,12 +1,15 @@
 """The slots of the targets that announced to one instance."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
-from enum import Enum
-from typing import Any, Protocol
-
-import attrs
-
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from toucanwood.dispatch._decisions import (
+    Decision,
+    FleetUsage,
+    OnDecision,
+    Status,
+)
 from toucanwood.dispatch._fairness import Claim, find_level
 from toucanwood.dispatch._queue import FairQueue, Waiter
 from toucanwood.dispatch._registry import Share, TargetRegistry
@@ -38,42 +41,6 @@
 SHORT_QUEUE_PART = 0.5
 
 
-class Status(Enum):
-    """Answer a request for a slot."""
-
-    GRANTED = "granted"
-    WAITING = "waiting"
-    FULL = "full"
-    LATE = "late"
-
-
-@attrs.frozen
-class Decision:
-    """Tell the holder which target to use and for how long the grant is valid."""
-
-    status: Status
-    target_id: str = ""
-    address: str = ""
-    valid_for: float = 0.0
-    retry_after: float = 0.0
-
-
-class FleetUsage(Protocol):
-    """Tell what the other owners have in use."""
-
-    def count_usage(self, service: str, organisation: str) -> int:
-        """Return the slots of an organisation in use at the other owners."""
-
-    def list_usage(self, service: str, region: str) -> Mapping[str, int]:
-        """Return the slots in use at the other owners in a region by organisation."""
-
-    def count_other_slots(self, service: str, region: str) -> int:
-        """Return the slots of the other owners in a region."""
-
-
-OnDecision = Callable[[LeaseKey, Decision], None]
-
-
 def _is_never_drained(data_centre: str) -> bool:
     return False
 
--- a/toucanwood/dispatch/_service.py
+++ b/toucanwood/dispatch/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from toucanwood.dispatch._decisions import Decision, FleetUsage, Status
 from toucanwood.dispatch._messages import (
     AcquireSlot,
     HoldLeases,
@@ -10,7 +11,7 @@
     ReleaseSlot,
     SlotReply,
 )
-from toucanwood.dispatch._owner import Decision, FleetUsage, SlotOwner, Status
+from toucanwood.dispatch._owner import SlotOwner
 from toucanwood.dispatch._queue import Waiter
 from toucanwood.dispatch._selection import Selector
 from toucanwood.dispatch._target import LeaseKey, Outcome
