--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -45,6 +45,7 @@
     ),
 ]
 FileArgument = Annotated[Path, typer.Argument(help="YAML file.")]
+SETTINGS_NAMES = frozenset({"id", "data_centre", "http", "peer", "peer_secret"})
 DEFAULT_INSTANCE = "127.0.0.1:8101"
 
 
@@ -62,8 +63,7 @@
 def check(file: FileArgument) -> None:
     """Check a settings file or a declaration and print every fault."""
     mapping, lines = _load(file)
-    is_settings = isinstance(mapping, dict) and "peer_secret" in mapping
-    kind = Settings if is_settings else Declaration
+    kind = Settings if _is_settings(mapping) else Declaration
     kind.from_config(mapping, lines)
     typer.echo(f"{file}: valid {kind.__name__.lower()}")
 
@@ -208,6 +208,10 @@
         sys.exit(ExitCode.INVALID)
 
 
+def _is_settings(mapping: Any) -> bool:
+    return isinstance(mapping, dict) and not SETTINGS_NAMES.isdisjoint(mapping)
+
+
 def _load(file: Path) -> tuple[Any, dict[str, int]]:
     try:
         return load_yaml(file.read_text())
--- /dev/null
+++ b/toucanwood/cli/tests/test_commands.py
@@ -0,0 +1,76 @@
+"""Tests of the command line: exit statuses and one line for each failure."""
+
+import contextlib
+import io
+import pathlib
+import sys
+import tempfile
+from unittest import mock
+
+from toucanwood.cli import run
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples" / "measuring"
+UNREACHABLE = "127.0.0.1:1"
+
+
+def call(*arguments):
+    """Return the exit status, standard output and standard error of a command."""
+    out, err = io.StringIO(), io.StringIO()
+    argv = ["toucanwood", *map(str, arguments)]
+    with (
+        mock.patch.object(sys, "argv", argv),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        try:
+            run()
+            status = 0
+        except SystemExit as stop:
+            status = stop.code
+    return status, out.getvalue(), err.getvalue()
+
+
+def check_changed(name, old, new):
+    """Check an example file with one text replaced."""
+    text = (EXAMPLES / name).read_text()
+    assert old in text
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "changed.yaml"
+        path.write_text(text.replace(old, new, 1))
+        return call("check", path)
+
+
+def test_check_accepts_the_examples():
+    # Guards against example files that the program no longer accepts.
+    for path in EXAMPLES.rglob("*.yaml"):
+        assert call("check", path)[0] == 0, path
+
+
+def test_check_prints_every_fault_with_its_line():
+    # Guards against a traceback, or a fault that hides another one.
+    status, _, err = check_changed("declaration.yaml", "rate: 120", "rate: -1\n  x: 1")
+    assert status == 2
+    assert len(err.splitlines()) == 2
+    assert "line 16: organisations[0].rate: got -1" in err
+
+
+def test_settings_without_a_secret_are_checked_as_settings():
+    # Guards against faults of the wrong kind of file.
+    name = "settings/norte-1-a.yaml"
+    status, _, err = check_changed(name, "peer_secret:", "secret:")
+    assert status == 2 and "peer_secret" in err and "regions" not in err
+
+
+def test_failures_are_one_line_with_their_exit_status():
+    # Guards against tracebacks for files or instances that can't be reached.
+    cases = [
+        (("check", "/nonexistent.yaml"), 2),
+        (("serve", "/nonexistent.yaml"), 2),
+        (("get", "--instance", UNREACHABLE), 4),
+        (("lookup", "s", "--instance", UNREACHABLE), 4),
+        (("get", "--token-file", "/nonexistent"), 2),
+    ]
+    for arguments, expected in cases:
+        status, _, err = call(*arguments)
+        assert status == expected, arguments
+        assert err.startswith("error: ") and len(err.splitlines()) == 1, err
