--- a/benchmarks/_control_costs.py
+++ b/benchmarks/_control_costs.py
@@ -207,6 +207,7 @@
     service = AccountService(
         transport=CountingTransport(),
         is_leader=lambda: True,
+        term=lambda: 1,
         limits_of=lambda name: (100_000.0, 200_000.0),
     )
     await service.start()
