--- a/toucanwood/consensus/__init__.py
+++ b/toucanwood/consensus/__init__.py
@@ -2,6 +2,7 @@
 
 from toucanwood.consensus._core import Machine
 from toucanwood.consensus._disk import Disk, FileDisk
+from toucanwood.consensus._members import MemberRole, Members
 from toucanwood.consensus._records import DamagedStorageError, StorageError
 from toucanwood.consensus._replica import Replica
 from toucanwood.consensus._storage import Storage
@@ -11,6 +12,8 @@
     "Disk",
     "FileDisk",
     "Machine",
+    "MemberRole",
+    "Members",
     "Replica",
     "Storage",
     "StorageError",
--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -14,6 +14,7 @@
 from toucanwood.consensus._freshness import Freshness
 from toucanwood.consensus._leadership import Leadership
 from toucanwood.consensus._log import EntryKind
+from toucanwood.consensus._members import Members
 from toucanwood.consensus._receiver import Receiver
 from toucanwood.consensus._records import StorageError
 from toucanwood.consensus._storage import Snapshot, Storage
@@ -138,6 +139,17 @@
         """
         return self._freshness.age()
 
+    @property
+    def members(self) -> Members:
+        """Return the members in force, as known here."""
+        return self._core.members
+
+    @property
+    def is_member(self) -> bool:
+        """Return whether this disk belongs to the group."""
+        member = self._core.members.by_id.get(self._core.id)
+        return member is not None and member.incarnation == self._core.incarnation
+
     async def add_learner(self, instance_id: str) -> Result[Any, Verdict]:
         """Add a member that receives the log and does not vote."""
         return await self._changes.add_learner(instance_id)
--- /dev/null
+++ b/toucanwood/controller/__init__.py
@@ -0,0 +1,25 @@
+"""A control instance: the replicated fleet state, its feed, and the directory."""
+
+from toucanwood.controller._directory import Directory, EntryInfo
+from toucanwood.controller._instance import DEFAULT_SECRET, ControllerInstance
+from toucanwood.controller._messages import (
+    AnnounceEntry,
+    FleetUpdate,
+    PollFleet,
+    ReportUsage,
+    UsageAnswer,
+)
+from toucanwood.controller._settings import ControllerSettings
+
+__all__ = [
+    "DEFAULT_SECRET",
+    "AnnounceEntry",
+    "ControllerInstance",
+    "ControllerSettings",
+    "Directory",
+    "EntryInfo",
+    "FleetUpdate",
+    "PollFleet",
+    "ReportUsage",
+    "UsageAnswer",
+]
--- /dev/null
+++ b/toucanwood/controller/_instance.py
@@ -0,0 +1,337 @@
+"""The components of one control process and their life cycle."""
+
+import asyncio
+import zlib
+from typing import Any
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from toucanwood.consensus import FileDisk, Replica, Storage
+from toucanwood.controller._directory import Directory, EntryInfo
+from toucanwood.controller._group import GroupKeeper
+from toucanwood.controller._heard import HeardTargets
+from toucanwood.controller._messages import (
+    AnnounceController,
+    AnnounceEntry,
+    FleetUpdate,
+    OrderAnswer,
+    PollFleet,
+    ReportUsage,
+    SubmitOrder,
+    UsageAnswer,
+)
+from toucanwood.controller._settings import ControllerSettings
+from toucanwood.fleet import (
+    FleetState,
+    Order,
+    OrderResult,
+    RemoveTarget,
+    ReportTarget,
+    Target,
+    pack_order,
+)
+from toucanwood.peering import PeerNetwork, PeerUnavailable
+from toucanwood.quota import QuotaAccounts, Usage
+from toucanwood.routing import RoutingTable
+from toucanwood.utils import TaskGroup, ValidationError
+from toucanwood.verdicts import Execution, Verdict, doubt, refuse
+
+log = structlog.get_logger()
+
+GOSSIP_INTERVAL_S = 0.4
+CONTROLLER_TIMEOUT_S = 2.0
+EXPIRY_INTERVAL_S = 1.0
+# Callers turn to another controller after a second without an answer.
+ORDER_TIMEOUT_S = 0.85
+FORWARD_MARGIN_S = 0.05
+# A read may be this old; the configuration must be in force everywhere within seconds.
+READ_AGE_S = 0.8
+RETRY_AFTER_S = 0.3
+# All instances of a fleet share it. Where the settings bring none, the internal ports
+# are protected by the network alone.
+DEFAULT_SECRET = b"toucanwood"
+
+
+class ControllerInstance:
+    """Keep the fleet state with the other controllers and serve it."""
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self.settings = settings
+        self.state = FleetState()
+        self.directory = Directory(settings.region_by_data_centre)
+        self._heard = HeardTargets()
+        self._accounts = QuotaAccounts()
+        self._tasks = TaskGroup()
+        self._controllers: dict[str, float] = {}
+        self._led_since: float | None = None
+        self._tables: tuple[int, RoutingTable | None] = (0, None)
+        self.network = PeerNetwork(
+            instance_id=settings.id, address=settings.peer, secret=DEFAULT_SECRET
+        )
+        self.replica = Replica(
+            transport=self.network,
+            storage=Storage(FileDisk(settings.data_dir)),
+            machine=self.state,
+            voters=settings.founders,
+        )
+        self._keeper = GroupKeeper(self.replica, self._list_live_controllers)
+        self._register_handlers()
+        for controller in (*settings.controllers, *settings.founders):
+            self._note_controller(controller)
+
+    async def start(self) -> None:
+        """Start every component; raise DamagedStorageError or OSError."""
+        await self.network.start()
+        await self.replica.start()
+        for controller in self.replica.members.by_id:
+            self._note_controller(controller)
+        self._tasks.start(self._gossip(), name="gossip")
+        self._tasks.start(self._keeper.run(), name="group")
+        self._tasks.start(self._expire(), name="expiry")
+        log.info("controller_started", id=self.settings.id)
+
+    async def stop(self) -> None:
+        """Hand over the leadership and stop every component."""
+        await self.replica.stop()
+        await self._tasks.stop()
+        await self.network.stop()
+        log.info("controller_stopped", id=self.settings.id)
+
+    async def wait_failed(self) -> str:
+        """Wait until the data directory fails and return the reason."""
+        return await self.replica.wait_failed()
+
+    async def submit(self, order: Order) -> Result[OrderResult, Verdict]:
+        """Commit an order through the leader.
+
+        A failure says whether the order may have been committed.
+        """
+        data = pack_order(order)
+        if self.replica.is_leader():
+            return await self._propose(data, ORDER_TIMEOUT_S)
+        leader = self.replica.leader()
+        if leader is None or leader == self.settings.id:
+            return Failure(_refuse("no_leader", "no leader is known here"))
+        return await self._forward(leader, data)
+
+    def read_routing(self) -> Result[tuple[int, dict[str, Any]], Verdict]:
+        """Return the newest routing document and its revision, if provably newest."""
+        age = self.replica.lease_age()
+        if age > READ_AGE_S:
+            message = f"the state here is proven only up to {age:.1f} s ago"
+            return Failure(_refuse("state_stale", message))
+        return Success((self.state.revision, self.state.document))
+
+    async def announce_target(self, target: Target) -> Result[None, Verdict]:
+        """Take over what a target says of itself; success acknowledges it."""
+        now = self._now()
+        is_cold_again = self._heard.note(target, now)
+        known = self.state.targets.get(target.id)
+        if known is not None and target.is_older_than(known):
+            return Success(None)
+        if self.state.is_departed(target):
+            return Success(None)
+        if known is not None and target.is_same_as(known) and not is_cold_again:
+            return Success(None)
+        result = await self.submit(ReportTarget(target))
+        log.info(
+            "target_reported",
+            target=target.id,
+            service=target.service,
+            address=target.address,
+            state=target.state.value,
+            cold_left_s=target.cold_left_s,
+            born_ms=target.born_ms,
+            sequence=target.sequence,
+            result=_describe(result),
+        )
+        return result.map(lambda _: None)
+
+    async def remove_target(
+        self, target_id: str, born_ms: int | None
+    ) -> Result[None, Verdict]:
+        """Let a target leave; success acknowledges it."""
+        if (
+            target_id not in self.state.targets
+            and self.replica.lease_age() < READ_AGE_S
+        ):
+            return Success(None)
+        result = await self.submit(RemoveTarget(target_id, born_ms, None))
+        log.info("target_left", target=target_id, result=_describe(result))
+        return result.map(lambda _: None)
+
+    def look_up(self, region: str, data_centre: str) -> list[str]:
+        """Return the addresses of entries for a caller, the best first."""
+        return self.directory.look_up(region, data_centre, self._now())
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of every component, without keys."""
+        return {
+            "id": self.settings.id,
+            "replica": self.replica.dump(),
+            "version": self.state.version,
+            "revision": self.state.revision,
+            "targets": len(self.state.targets),
+            "evacuated": sorted(self.state.evacuated),
+            "entries": self.directory.dump(self._now()),
+            "controllers": sorted(self._controllers),
+            "quota": self._accounts.dump(),
+            "network": self.network.dump(),
+        }
+
+    def _register_handlers(self) -> None:
+        register = self.network.register
+        register(AnnounceEntry, self._receive_entry)
+        register(PollFleet, self._answer_poll)
+        register(ReportUsage, self._settle_usage)
+        register(AnnounceController, self._receive_controller)
+        register(SubmitOrder, self._answer_order)
+
+    async def _receive_entry(self, sender: str, request: AnnounceEntry) -> None:
+        entry = EntryInfo(
+            id=sender,
+            address=request.address,
+            region=request.region,
+            data_centre=request.data_centre,
+            is_ready=request.is_ready,
+        )
+        self.directory.note(entry, self._now())
+
+    async def _answer_poll(self, sender: str, request: PollFleet) -> FleetUpdate:
+        age = self.replica.lease_age()
+        entries = sorted(entry.id for entry in self.directory.list_live(self._now()))
+        mark = zlib.crc32(",".join(entries).encode())
+        changes: list[Any] | None = []
+        state = None
+        if request.version < self.state.version:
+            changes = self.state.list_changes(request.version)
+            state = self.state.export() if changes is None else None
+        return FleetUpdate(
+            version=self.state.version,
+            age_s=age if age < 1e6 else -1.0,
+            changes=changes,
+            state=state,
+            leader=self.replica.leader() or "",
+            controllers=sorted(self._controllers),
+            entries=None if mark == request.entries_mark else entries,
+            entries_mark=mark,
+        )
+
+    async def _settle_usage(self, sender: str, request: ReportUsage) -> UsageAnswer:
+        if not self.replica.is_leader():
+            self._accounts.clear()
+            return UsageAnswer(is_valid=False)
+        usage = {name: Usage(*counts) for name, counts in request.usage.items()}
+        table = self._find_table()
+        organisations = table.organisations if table is not None else {}
+        fractions = self._accounts.settle(sender, usage, organisations, self._now())
+        return UsageAnswer(is_valid=True, fractions=fractions)
+
+    async def _receive_controller(
+        self, sender: str, request: AnnounceController
+    ) -> None:
+        now = self._now()
+        self._note_controller(sender)
+        self._controllers[sender] = now
+        for controller in request.controllers:
+            self._note_controller(controller)
+        self._heard.note_shared(request.heard, now)
+
+    async def _answer_order(self, sender: str, request: SubmitOrder) -> OrderAnswer:
+        if not self.replica.is_leader():
+            return OrderAnswer(is_not_run=True)
+        result = await self._propose(request.order, ORDER_TIMEOUT_S - FORWARD_MARGIN_S)
+        if isinstance(result, Success):
+            return OrderAnswer(result=result.unwrap().to_wire())
+        return OrderAnswer(is_not_run=result.failure().is_not_run)
+
+    async def _propose(
+        self, data: bytes, timeout: float
+    ) -> Result[OrderResult, Verdict]:
+        return await self.replica.propose(data, timeout=timeout)
+
+    async def _forward(self, leader: str, data: bytes) -> Result[OrderResult, Verdict]:
+        try:
+            answer = await self.network.call(
+                leader, SubmitOrder(data), timeout=ORDER_TIMEOUT_S
+            )
+        except PeerUnavailable as error:
+            if error.execution is Execution.NOT_RUN:
+                return Failure(_refuse("leader_unreachable", str(error)))
+            return Failure(doubt("commit_unknown", str(error), status=504))
+        if isinstance(answer, OrderAnswer) and answer.result is not None:
+            return Success(OrderResult.from_wire(answer.result))
+        if isinstance(answer, OrderAnswer) and answer.is_not_run:
+            return Failure(_refuse("no_leader", f"{leader} does not lead"))
+        message = f"{leader} did not commit the order in time"
+        return Failure(doubt("commit_unknown", message, status=504))
+
+    async def _gossip(self) -> None:
+        """Tell the other controllers what is known here."""
+        while True:
+            message = AnnounceController(
+                controllers=sorted(self._controllers),
+                heard=self._heard.take_unshared(),
+                is_member=self.replica.is_member,
+            )
+            for controller in list(self._controllers):
+                if controller != self.settings.id:
+                    self._send(controller, message)
+            await asyncio.sleep(GOSSIP_INTERVAL_S)
+
+    def _send(self, controller: str, message: Any) -> None:
+        try:
+            self.network.send(controller, message)
+        except PeerUnavailable as error:
+            log.debug("controller_unreachable", id=controller, reason=str(error))
+
+    async def _expire(self) -> None:
+        """Remove targets that no controller hears any more, while this one leads."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = self._now()
+            self.directory.expire(now)
+            silent = self._heard.list_silent(self.state.targets.values(), now)
+            if not self.replica.is_leader():
+                continue
+            for target in silent:
+                log.info("target_silent", target=target.id, service=target.service)
+                order = RemoveTarget(target.id, target.born_ms, target.sequence)
+                await self.submit(order)
+
+    def _note_controller(self, controller: str) -> None:
+        if controller == self.settings.id or controller in self._controllers:
+            return
+        self._controllers[controller] = float("-inf")
+        address = f"{controller}:{self.settings.peer_port}"
+        self.network.set_address(controller, address)
+
+    def _list_live_controllers(self) -> list[str]:
+        oldest = self._now() - CONTROLLER_TIMEOUT_S
+        return [key for key, at in self._controllers.items() if at > oldest]
+
+    def _find_table(self) -> RoutingTable | None:
+        """Return the routing table of the current revision."""
+        revision = self.state.revision
+        if revision and self._tables[0] != revision:
+            try:
+                table = RoutingTable.from_config(self.state.document)
+            except ValidationError as error:
+                log.error("routing_unreadable", revision=revision, error=str(error))
+                table = None
+            self._tables = (revision, table)
+        return self._tables[1]
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _refuse(code: str, message: str) -> Verdict:
+    return refuse(code, message, status=503, retry_after=RETRY_AFTER_S)
+
+
+def _describe(result: Result[Any, Verdict]) -> str:
+    if isinstance(result, Success):
+        return "committed"
+    return str(result.failure().code)
--- /dev/null
+++ b/toucanwood/controller/_messages.py
@@ -0,0 +1,97 @@
+"""Messages between entries and controllers."""
+
+from typing import Any
+
+import attrs
+
+from toucanwood.peering import message
+
+
+@message(100)
+@attrs.frozen
+class AnnounceEntry:
+    """Tell a controller of an entry; `address` is where callers connect."""
+
+    address: str = ""
+    region: str = ""
+    data_centre: str = ""
+    is_ready: bool = False
+
+
+@message(101)
+@attrs.frozen
+class PollFleet:
+    """Ask a controller for what has changed after a version.
+
+    `entries_mark` is that of the last list of entries.
+    """
+
+    version: int = 0
+    entries_mark: int = 0
+
+
+@message(102)
+@attrs.frozen
+class FleetUpdate:
+    """Answer with changes, or with the whole state where changes are not kept.
+
+    `age_s` bounds how old the controller's state may be; it is negative where the
+    controller has no proof.
+    """
+
+    version: int = 0
+    age_s: float = -1.0
+    changes: list[Any] | None = None
+    state: list[Any] | None = None
+    leader: str = ""
+    controllers: list[str] = attrs.field(factory=list)
+    # Missing where the list has not changed.
+    entries: list[str] | None = None
+    entries_mark: int = 0
+
+
+@message(103)
+@attrs.frozen
+class ReportUsage:
+    """Report requests by organisation: offered and used since the last report."""
+
+    usage: dict[str, list[int]] = attrs.field(factory=dict)
+
+
+@message(104)
+@attrs.frozen
+class UsageAnswer:
+    """Answer with the fractions to admit; only a leader's answer is valid."""
+
+    is_valid: bool = False
+    fractions: dict[str, float] = attrs.field(factory=dict)
+
+
+@message(105)
+@attrs.frozen
+class AnnounceController:
+    """Tell another controller which ones are known, and which targets were heard.
+
+    `heard` holds id, birth and number of the last announcement of each target.
+    """
+
+    controllers: list[str] = attrs.field(factory=list)
+    heard: list[list[Any]] = attrs.field(factory=list)
+    is_member: bool = False
+
+
+@message(106)
+@attrs.frozen
+class SubmitOrder:
+    """Ask the leader to commit an order."""
+
+    order: bytes = b""
+
+
+@message(107)
+@attrs.frozen
+class OrderAnswer:
+    """Answer with the result; without one the order may have been committed."""
+
+    result: list[Any] | None = None
+    is_not_run: bool = False
--- a/toucanwood/entry/_context.py
+++ b/toucanwood/entry/_context.py
@@ -8,8 +8,8 @@
 
 from toucanwood.declaration import Route, Service
 from toucanwood.entry._body import RequestBody
-from toucanwood.entry._client import Progress
 from toucanwood.entry._decisions import Decision
+from toucanwood.upstream import Progress
 from toucanwood.verdicts import Verdict
 
 T = TypeVar("T")
--- a/toucanwood/entry/_drain.py
+++ b/toucanwood/entry/_drain.py
@@ -4,8 +4,8 @@
 
 import structlog
 
-from toucanwood.entry._listener import Listener
 from toucanwood.entry._protocol import CallerConnection, CallerServer
+from toucanwood.httpd import Listener
 from toucanwood.utils import TaskGroup
 from toucanwood.verdicts import Verdict, refuse
 
--- a/toucanwood/entry/_entry.py
+++ b/toucanwood/entry/_entry.py
@@ -8,7 +8,6 @@
 from aiohttp.http import HttpVersion11
 
 from toucanwood.entry._api import PREFIX, Api, describe_error
-from toucanwood.entry._client import MAX_IDLE_PER_TARGET, TargetClient
 from toucanwood.entry._collaborators import (
     ClientBlocks,
     Dispatcher,
@@ -27,7 +26,6 @@
 )
 from toucanwood.entry._forwarder import Forwarder
 from toucanwood.entry._guard import check_message, check_target
-from toucanwood.entry._listener import Listener
 from toucanwood.entry._operation_runner import OperationRunner
 from toucanwood.entry._pacing import LinkPacer
 from toucanwood.entry._protocol import CallerConnection, CallerServer
@@ -35,6 +33,8 @@
 from toucanwood.entry._relay import Relay
 from toucanwood.entry._responses import build_failure
 from toucanwood.entry._retries import RetryBudget
+from toucanwood.httpd import Listener
+from toucanwood.upstream import MAX_IDLE_PER_TARGET, TargetClient
 from toucanwood.utils import TaskGroup
 
 log = structlog.get_logger()
--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -7,12 +7,6 @@
 from aiohttp.streams import StreamReader
 
 from toucanwood.entry._body import BodyError, RequestBody
-from toucanwood.entry._client import (
-    Progress,
-    TargetClient,
-    TargetConnection,
-    TargetError,
-)
 from toucanwood.entry._collaborators import (
     Dispatcher,
     Outcome,
@@ -20,6 +14,12 @@
     SlotLease,
 )
 from toucanwood.entry._decisions import Attempt
+from toucanwood.upstream import (
+    Progress,
+    TargetClient,
+    TargetConnection,
+    TargetError,
+)
 
 # A response body up to this size is received in full before the caller gets the first
 # byte, so that a truncated one becomes a clear failure.
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -6,7 +6,6 @@
 from returns.result import Success
 
 from toucanwood.entry._body import BodyError
-from toucanwood.entry._client import TargetClient, TargetError, TargetUnreachable
 from toucanwood.entry._collaborators import (
     Dispatcher,
     OutcomeKind,
@@ -19,6 +18,7 @@
 from toucanwood.entry._forwarding import encode_request_head
 from toucanwood.entry._responses import DEADLINE, REQUEST_ID
 from toucanwood.entry._retries import RetryBudget
+from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
 from toucanwood.verdicts import Verdict, doubt, refuse
 
 # An established connection can become silent while new ones work. A pooled connection
--- a/toucanwood/entry/_operation_runner.py
+++ b/toucanwood/entry/_operation_runner.py
@@ -7,13 +7,13 @@
 import structlog
 from aiohttp import web
 
-from toucanwood.entry._client import TargetError
 from toucanwood.entry._collaborators import Answer, Operations, OutcomeKind
 from toucanwood.entry._context import Refusal, RequestContext, unwrap
 from toucanwood.entry._exchange import Exchange
 from toucanwood.entry._forwarder import Forwarder
 from toucanwood.entry._forwarding import select_response_headers
 from toucanwood.entry._relay import Relay, build_recorded
+from toucanwood.upstream import TargetError
 from toucanwood.utils import TaskGroup
 from toucanwood.verdicts import doubt
 
--- a/toucanwood/entry/_relay.py
+++ b/toucanwood/entry/_relay.py
@@ -4,7 +4,6 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.web_response import REASON_PHRASES
 
-from toucanwood.entry._client import TargetError
 from toucanwood.entry._collaborators import Answer, OutcomeKind, View
 from toucanwood.entry._context import RequestContext
 from toucanwood.entry._exchange import Exchange
@@ -17,6 +16,7 @@
 from toucanwood.entry._protocol import CallerConnection
 from toucanwood.entry._responses import REQUEST_ID
 from toucanwood.entry._whole_response import WholeResponse
+from toucanwood.upstream import TargetError
 
 _NOT_HELD = HOP_BY_HOP | {"content-length"}
 
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -4,7 +4,6 @@
 
 import aiohttp
 
-from toucanwood.entry._client import MIN_IDLE_S
 from toucanwood.entry._decisions import Decision, DecisionLog
 from toucanwood.entry.testing import KEY, OPERATOR_TOKEN
 from toucanwood.entry.tests.fake_target import FakeTarget
@@ -16,6 +15,7 @@
     run_with_target,
     send_raw,
 )
+from toucanwood.upstream import MIN_IDLE_S
 
 DOUBT = "may-have-run"
 CLOSE = AUTH + "Connection: close\r\n"
--- /dev/null
+++ b/toucanwood/fleet/__init__.py
@@ -0,0 +1,35 @@
+"""What every instance of a fleet must agree on: routing, evacuations, targets."""
+
+from toucanwood.fleet._changes import Change, ChangeKind
+from toucanwood.fleet._orders import (
+    Order,
+    OrderResult,
+    OrderStatus,
+    PatchRouting,
+    PutRouting,
+    RemoveTarget,
+    ReportTarget,
+    SetEvacuation,
+    pack_order,
+)
+from toucanwood.fleet._state import FleetState
+from toucanwood.fleet._target import Target, TargetState
+from toucanwood.fleet._view import FleetView
+
+__all__ = [
+    "Change",
+    "ChangeKind",
+    "FleetState",
+    "FleetView",
+    "Order",
+    "OrderResult",
+    "OrderStatus",
+    "PatchRouting",
+    "PutRouting",
+    "RemoveTarget",
+    "ReportTarget",
+    "SetEvacuation",
+    "Target",
+    "TargetState",
+    "pack_order",
+]
--- /dev/null
+++ b/toucanwood/fleet/_changes.py
@@ -0,0 +1,32 @@
+"""Changes of the fleet state, as instances receive them."""
+
+from enum import IntEnum
+from typing import Any
+
+import attrs
+
+
+class ChangeKind(IntEnum):
+    """Tell what changed."""
+
+    ROUTING = 0
+    EVACUATION = 1
+    TARGET = 2
+    TARGET_GONE = 3
+
+
+@attrs.frozen
+class Change:
+    """Hold one change; `values` are msgpack values."""
+
+    kind: ChangeKind
+    values: list[Any]
+
+    def to_wire(self) -> list[Any]:
+        """Return the change as a msgpack list."""
+        return [int(self.kind), self.values]
+
+    @classmethod
+    def from_wire(cls, content: list[Any]) -> "Change":
+        """Build a change."""
+        return cls(ChangeKind(content[0]), content[1])
--- /dev/null
+++ b/toucanwood/fleet/_orders.py
@@ -0,0 +1,120 @@
+"""Orders that change the fleet state, and their results."""
+
+import hashlib
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import msgpack
+
+from toucanwood.fleet._target import Target
+
+
+class OrderStatus(StrEnum):
+    """Tell what became of an order."""
+
+    ACCEPTED = "accepted"
+    # The order builds on a revision that is not the current one.
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+@attrs.frozen
+class OrderResult:
+    """Hold the status, the current revision and a message for the operator."""
+
+    status: OrderStatus
+    revision: int
+    message: str = ""
+
+    def to_wire(self) -> list[Any]:
+        """Return the result as a msgpack list."""
+        return [self.status.value, self.revision, self.message]
+
+    @classmethod
+    def from_wire(cls, content: list[Any]) -> "OrderResult":
+        """Build a result."""
+        return cls(OrderStatus(content[0]), content[1], content[2])
+
+
+@attrs.frozen
+class PutRouting:
+    """Replace the routing document; `base` is the revision that it builds on."""
+
+    base: int
+    revision: int
+    document: dict[str, Any]
+
+
+@attrs.frozen
+class PatchRouting:
+    """Change named items of the routing document."""
+
+    base: int
+    revision: int
+    upsert: dict[str, Any]
+    remove: dict[str, Any]
+
+
+@attrs.frozen
+class SetEvacuation:
+    """Start or end the evacuation of a data centre's targets."""
+
+    data_centre: str
+    is_evacuated: bool
+
+
+@attrs.frozen
+class ReportTarget:
+    """Add a target or change what is known of it."""
+
+    target: Target
+
+
+@attrs.frozen
+class RemoveTarget:
+    """Remove a target that has left or is silent.
+
+    A later incarnation than `born_ms` stays; `born_ms` is None where the caller did
+    not name one. `sequence` is the last announcement that the caller knew of, or None
+    where the target itself asked to be removed.
+    """
+
+    id: str
+    born_ms: int | None
+    sequence: int | None
+
+
+Order = PutRouting | PatchRouting | SetEvacuation | ReportTarget | RemoveTarget
+
+_KINDS: dict[str, type] = {
+    "put_routing": PutRouting,
+    "patch_routing": PatchRouting,
+    "set_evacuation": SetEvacuation,
+    "report_target": ReportTarget,
+    "remove_target": RemoveTarget,
+}
+_NAMES = {cls: name for name, cls in _KINDS.items()}
+
+
+def pack_order(order: Order) -> bytes:
+    """Encode an order for the log."""
+    values = [getattr(order, field.name) for field in attrs.fields(type(order))]
+    values = [item.to_wire() if isinstance(item, Target) else item for item in values]
+    return msgpack.packb([_NAMES[type(order)], *values])
+
+
+def unpack_order(data: bytes) -> Order:
+    """Decode an order; raise ValueError for a kind of a newer version."""
+    name, *values = msgpack.unpackb(data, strict_map_key=False)
+    cls = _KINDS.get(name)
+    if cls is None:
+        raise ValueError(f"order kind must be one of {sorted(_KINDS)}, got {name!r}")
+    if cls is ReportTarget:
+        return ReportTarget(Target.from_wire(values[0]))
+    return cls(*values)
+
+
+def compute_digest(order: Order) -> bytes:
+    """Return the SHA-256 of an order, by which a repeated one is recognised."""
+    return hashlib.sha256(pack_order(order)).digest()
--- /dev/null
+++ b/toucanwood/fleet/_view.py
@@ -0,0 +1,79 @@
+"""The copy of the fleet state that an instance holds."""
+
+from typing import Any
+
+import attrs
+
+from toucanwood.fleet._changes import Change, ChangeKind
+from toucanwood.fleet._target import Target
+from toucanwood.routing import RoutingTable, apply_change
+
+
+@attrs.define
+class FleetView:
+    """Follow the fleet state by changes; never goes back to an earlier revision."""
+
+    version: int = 0
+    revision: int = 0
+    document: dict[str, Any] = attrs.field(factory=dict)
+    evacuated: set[str] = attrs.field(factory=set)
+    targets: dict[str, Target] = attrs.field(factory=dict)
+    table: RoutingTable | None = None
+
+    def apply_changes(self, version: int, changes: list[Any]) -> list[Change]:
+        """Apply the changes up to a version and return them."""
+        decoded = [Change.from_wire(item) for item in changes]
+        for change in decoded:
+            self._apply(change)
+        self.version = max(self.version, version)
+        if any(change.kind is ChangeKind.ROUTING for change in decoded):
+            self._build_table()
+        return decoded
+
+    def replace(self, version: int, state: list[Any]) -> bool:
+        """Take over a whole state; an older one is refused and returns False."""
+        revision, document, evacuated, targets = state
+        if version < self.version or revision < self.revision:
+            return False
+        self.version = version
+        self.evacuated = set(evacuated)
+        self.targets = {item[0]: Target.from_wire(item) for item in targets}
+        if revision != self.revision:
+            self.revision = revision
+            self.document = document
+            self._build_table()
+        return True
+
+    def dump(self) -> dict[str, Any]:
+        """Return a JSON-serialisable description without keys."""
+        return {
+            "version": self.version,
+            "revision": self.revision,
+            "evacuated": sorted(self.evacuated),
+            "targets": len(self.targets),
+        }
+
+    def _apply(self, change: Change) -> None:
+        if change.kind is ChangeKind.ROUTING:
+            revision, *difference = change.values
+            self.document = apply_change(self.document, difference)
+            self.revision = revision
+        elif change.kind is ChangeKind.EVACUATION:
+            data_centre, is_evacuated = change.values
+            if is_evacuated:
+                self.evacuated.add(data_centre)
+            else:
+                self.evacuated.discard(data_centre)
+        elif change.kind is ChangeKind.TARGET:
+            target = Target.from_wire(change.values)
+            self.targets[target.id] = target
+        else:
+            target_id, born_ms = change.values
+            known = self.targets.get(target_id)
+            if known is not None and known.born_ms == born_ms:
+                del self.targets[target_id]
+
+    def _build_table(self) -> None:
+        self.table = RoutingTable.from_config(
+            {**self.document, "revision": self.revision}
+        )
--- /dev/null
+++ b/toucanwood/gateway/_admission.py
@@ -0,0 +1,147 @@
+"""The checks of a request before it may be placed."""
+
+import itertools
+import math
+from collections.abc import Callable
+
+import attrs
+
+from toucanwood.fleet import FleetView
+from toucanwood.gateway._context import Refusal, RequestContext
+from toucanwood.gateway._headers import HeaderNames
+from toucanwood.httpd import BodyError, BodyTooLarge, CallerRequest
+from toucanwood.quota import QuotaGate
+from toucanwood.routing import Organisation, Route, RoutingTable
+from toucanwood.verdicts import refuse
+
+# A caller that does not say how long it waits.
+DEFAULT_DEADLINE_S = 30.0
+RETRY_AFTER_START_S = 0.2
+RETRY_AFTER_QUOTA_S = 0.5
+
+
+@attrs.define
+class Splitter:
+    """Distribute the requests of each route over its services by weight.
+
+    Smooth weighted round robin: after any number of requests, each service has its
+    part to within one request.
+    """
+
+    _credits: dict[str, dict[str, float]] = attrs.field(factory=dict)
+
+    def choose(self, route: Route) -> str:
+        """Return the service for the next request of a route."""
+        if len(route.splits) == 1:
+            return route.splits[0].service
+        total = sum(split.weight for split in route.splits)
+        known = self._credits.setdefault(route.name, {})
+        names = {split.service for split in route.splits}
+        credits = {name: credit for name, credit in known.items() if name in names}
+        for split in route.splits:
+            part = split.weight / total
+            credits[split.service] = credits.get(split.service, 0.0) + part
+        weights = {split.service: split.weight for split in route.splits}
+        chosen = max(
+            (name for name in credits if weights[name] > 0), key=credits.__getitem__
+        )
+        credits[chosen] -= 1.0
+        self._credits[route.name] = credits
+        return chosen
+
+
+class Admission:
+    """Find the route, the organisation and the deadlines of a request."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        names: HeaderNames,
+        quota: QuotaGate,
+        is_refusing: Callable[[], bool],
+    ) -> None:
+        self._view = view
+        self._names = names
+        self._quota = quota
+        self._is_refusing = is_refusing
+        self._splitter = Splitter()
+        self._own_ids = itertools.count(1)
+
+    async def admit(self, request: CallerRequest, now: float) -> RequestContext:
+        """Return the context of a request that may be placed, or raise Refusal."""
+        table = self._view.table
+        if table is None:
+            message = "this entry has no routing table yet"
+            raise _refuse("no_routing", message, 503, RETRY_AFTER_START_S)
+        if self._is_refusing():
+            raise _refuse("stopping", "this entry is stopping", 503, 0.0)
+        route = self._match(table, request)
+        organisation = self._authenticate(table, route, request)
+        context = self._build(request, route, organisation)
+        context.body = await self._read_body(table, request)
+        if organisation is not None and not self._quota.admit(organisation, now):
+            message = f"organisation {organisation.name} is over its rate"
+            raise _refuse("over_quota", message, 429, RETRY_AFTER_QUOTA_S)
+        return context
+
+    def _match(self, table: RoutingTable, request: CallerRequest) -> Route:
+        host = request.headers.get("Host", "").lower()
+        route = table.match(host, request.path)
+        if route is None and ":" in host:
+            route = table.match(host.rpartition(":")[0], request.path)
+        if route is None:
+            raise _refuse("no_route", "no route has this host and path", 404)
+        return route
+
+    def _authenticate(
+        self, table: RoutingTable, route: Route, request: CallerRequest
+    ) -> Organisation | None:
+        key = self._names.read_key(request.headers)
+        organisation = table.find_organisation(key) if key is not None else None
+        if organisation is None and table.organisations and not route.is_open:
+            raise _refuse("key_unknown", "the key is missing or unknown", 401)
+        return organisation
+
+    def _build(
+        self, request: CallerRequest, route: Route, organisation: Organisation | None
+    ) -> RequestContext:
+        remaining = self._names.read_remaining(request.headers)
+        if remaining is None:
+            remaining = DEFAULT_DEADLINE_S
+        caller_deadline_at = request.arrived_at + remaining
+        timeout = route.timeout_s if route.timeout_s is not None else math.inf
+        objective = route.objective_s if route.objective_s is not None else timeout
+        deadline_at = min(caller_deadline_at, request.arrived_at + timeout)
+        request_id = self._names.read_request_id(request.headers)
+        return RequestContext(
+            request=request,
+            request_id=request_id or f"entry-{next(self._own_ids)}",
+            route=route,
+            organisation=organisation,
+            service=self._splitter.choose(route),
+            body=b"",
+            object_key=self._find_object(request, route),
+            objective_at=min(request.arrived_at + objective, deadline_at),
+            caller_deadline_at=caller_deadline_at,
+            deadline_at=deadline_at,
+            revision=self._view.revision,
+        )
+
+    def _find_object(self, request: CallerRequest, route: Route) -> str | None:
+        key = self._names.read_object(request.headers) if route.is_sticky else None
+        return f"{route.name}|{key}" if key is not None else None
+
+    async def _read_body(self, table: RoutingTable, request: CallerRequest) -> bytes:
+        try:
+            return await request.read_body(table.caller_limits.body_bytes)
+        except BodyTooLarge as error:
+            raise _refuse("body_too_large", str(error), 413) from error
+        except BodyError as error:
+            raise _refuse("body_invalid", str(error), 400) from error
+
+
+def _refuse(
+    code: str, message: str, status: int, retry_after: float | None = None
+) -> Refusal:
+    return Refusal(refuse(code, message, status=status, retry_after=retry_after))
--- /dev/null
+++ b/toucanwood/gateway/_context.py
@@ -0,0 +1,45 @@
+"""What one request carries from step to step."""
+
+from typing import Any
+
+import attrs
+
+from toucanwood.httpd import CallerRequest
+from toucanwood.routing import Organisation, Route
+from toucanwood.verdicts import Verdict
+
+
+class Refusal(Exception):
+    """End a request with a verdict."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        super().__init__(verdict.message)
+        self.verdict = verdict
+
+
+@attrs.define(eq=False)
+class RequestContext:
+    """Hold one request; times are those of the event loop, in seconds."""
+
+    request: CallerRequest
+    request_id: str
+    route: Route
+    organisation: Organisation | None
+    service: str
+    body: bytes
+    object_key: str | None
+    objective_at: float
+    # When the caller stops to wait, and when the route's time is up.
+    caller_deadline_at: float
+    deadline_at: float
+    revision: int
+    sends: int = 0
+    may_have_run: bool = False
+    excluded: set[str] = attrs.field(factory=set)
+    first_ends_at: float | None = None
+    notes: dict[str, Any] = attrs.field(factory=dict)
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.route.is_repeatable
--- /dev/null
+++ b/toucanwood/gateway/_dispatcher.py
@@ -0,0 +1,254 @@
+"""Requests that wait for targets, on the event loop."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import structlog
+
+from toucanwood.fleet import FleetView, Target
+from toucanwood.placement import (
+    LoadReport,
+    Need,
+    Outcome,
+    Placed,
+    Refused,
+    RegionShare,
+    Selection,
+    ServicePool,
+    TargetRecord,
+    Waiting,
+)
+
+log = structlog.get_logger()
+
+# One-way times in seconds that are assumed between instances and targets.
+SAME_DATA_CENTRE_S = 0.0002
+SAME_REGION_S = 0.001
+OTHER_REGION_S = 0.012
+# Waiting requests are looked at this often even if nothing has changed, because what
+# is known of other entries' requests fades with time.
+PUMP_INTERVAL_S = 0.02
+
+
+@attrs.define(eq=False)
+class Lease:
+    """Hold a place at a target until it is released."""
+
+    record: TargetRecord
+    need: Need
+    started_at: float
+    reason: str
+
+    @property
+    def target(self) -> Target:
+        """Return the target."""
+        return self.record.target
+
+
+class Dispatcher:
+    """Keep a pool for each service in step with the fleet view."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        data_centre: str,
+        region: str,
+        region_by_data_centre: Callable[[str], str],
+        share: RegionShare | None,
+        on_ejected: Callable[[TargetRecord], None],
+    ) -> None:
+        self._entry_id = entry_id
+        self._data_centre = data_centre
+        self._region = region
+        self._find_region = region_by_data_centre
+        self._share = share
+        self._on_ejected = on_ejected
+        self._pools: dict[str, ServicePool] = {}
+        self._futures: dict[Waiting, asyncio.Future[Lease | Refused]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._entries: frozenset[str] = frozenset()
+        self._evacuated: frozenset[str] = frozenset()
+        self._random = random.Random()
+
+    async def acquire(self, need: Need) -> Lease | Refused:
+        """Return a place at a target, or why the request is turned away."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        pool = self._find_pool(need.service)
+        decision = pool.place(need, now)
+        if isinstance(decision, Refused):
+            return decision
+        if isinstance(decision, Placed):
+            return self._start(pool, decision, need, now)
+        future: asyncio.Future[Lease | Refused] = loop.create_future()
+        self._futures[decision] = future
+        self._arm_timer()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            pool.withdraw(decision)
+            if future.done() and not future.cancelled():
+                given = future.result()
+                if isinstance(given, Lease):
+                    self.release(given, Outcome.CANCELLED)
+            raise
+        finally:
+            self._futures.pop(decision, None)
+
+    def release(
+        self, lease: Lease, outcome: Outcome, report: LoadReport | None = None
+    ) -> None:
+        """Give a place back with what was learned."""
+        now = asyncio.get_running_loop().time()
+        pool = self._find_pool(lease.need.service)
+        is_ejected = pool.finish(
+            lease.record,
+            lease.need,
+            outcome,
+            seconds=now - lease.started_at,
+            report=report,
+            now=now,
+        )
+        if is_ejected:
+            log.info(
+                "target_ejected",
+                target=lease.record.id,
+                outcome=outcome.value,
+                success_rate=round(lease.record.health.success_rate, 2),
+            )
+            self._on_ejected(lease.record)
+        self._pump(pool, now)
+
+    def update(self, view: FleetView, entries: frozenset[str]) -> None:
+        """Take over the targets, evacuations and entries of the fleet."""
+        now = asyncio.get_running_loop().time()
+        self._entries = entries
+        self._note_evacuations(frozenset(view.evacuated))
+        for target in view.targets.values():
+            self._update_target(target, now)
+        for pool in self._pools.values():
+            for key in [key for key in pool.records if key not in view.targets]:
+                del pool.records[key]
+                pool.selection.forget(key)
+            rules = view.table.services.get(pool.service) if view.table else None
+            pool.selection.cold_rate = rules.cold_rate if rules is not None else 0.0
+            pool.selection.entries = entries
+            pool.selection.evacuated = self._evacuated
+            self._pump(pool, now)
+
+    def list_records(self) -> list[TargetRecord]:
+        """Return what is known of every target."""
+        return [
+            record for pool in self._pools.values() for record in pool.records.values()
+        ]
+
+    def dump(self) -> dict[str, Any]:
+        """Return a JSON-serialisable description."""
+        now = asyncio.get_running_loop().time()
+        return {name: pool.dump(now) for name, pool in self._pools.items()}
+
+    def _update_target(self, target: Target, now: float) -> None:
+        pool = self._find_pool(target.service)
+        record = pool.records.get(target.id)
+        if record is None:
+            region = self._find_region(target.data_centre)
+            record = TargetRecord(target, region, self._estimate_latency(target))
+            pool.records[target.id] = record
+            record.cold_until = now + target.cold_left_s
+            self._remove_elsewhere(target)
+            return
+        if record.target == target:
+            return
+        if record.target.born_ms != target.born_ms:
+            record.restart()
+            record.health.is_ejected = False
+            record.health.strikes = 0.0
+        if target.cold_left_s > 0:
+            record.cold_until = now + target.cold_left_s
+        record.target = target
+
+    def _remove_elsewhere(self, target: Target) -> None:
+        """Drop a target from the pool of a service that it left."""
+        for pool in self._pools.values():
+            if pool.service != target.service:
+                pool.records.pop(target.id, None)
+
+    def _note_evacuations(self, evacuated: frozenset[str]) -> None:
+        """Distrust the targets of a data centre that is taken back.
+
+        They may have become cold meanwhile, and their next announcement may be late.
+        """
+        returned = self._evacuated - evacuated
+        self._evacuated = evacuated
+        for record in self.list_records():
+            if record.target.data_centre in returned:
+                record.is_unproven = True
+
+    def _estimate_latency(self, target: Target) -> float:
+        if target.data_centre == self._data_centre:
+            return SAME_DATA_CENTRE_S
+        if self._find_region(target.data_centre) == self._region:
+            return SAME_REGION_S
+        return OTHER_REGION_S
+
+    def _find_pool(self, service: str) -> ServicePool:
+        pool = self._pools.get(service)
+        if pool is None:
+            selection = Selection(
+                entry_id=self._entry_id,
+                evacuated=self._evacuated,
+                entries=self._entries,
+                share=self._share,
+            )
+            pool = ServicePool(service, selection, self._random)
+            self._pools[service] = pool
+        return pool
+
+    def _start(
+        self, pool: ServicePool, placed: Placed, need: Need, now: float
+    ) -> Lease:
+        pool.start(placed.record, need, now)
+        return Lease(placed.record, need, now, placed.reason)
+
+    def _pump(self, pool: ServicePool, now: float) -> None:
+        if not pool.count_waiting():
+            return
+        for item, decision in pool.place_waiting(now):
+            future = self._futures.get(item)
+            given: Lease | Refused = (
+                decision
+                if isinstance(decision, Refused)
+                else Lease(decision.record, item.need, now, decision.reason)
+            )
+            if future is not None and not future.done():
+                future.set_result(given)
+            elif isinstance(given, Lease):
+                self._give_up(pool, given, now)
+
+    def _give_up(self, pool: ServicePool, lease: Lease, now: float) -> None:
+        """Return a place that was given to a caller who has left."""
+        pool.finish(
+            lease.record,
+            lease.need,
+            Outcome.CANCELLED,
+            seconds=0.0,
+            report=None,
+            now=now,
+        )
+
+    def _arm_timer(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(PUMP_INTERVAL_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        now = asyncio.get_running_loop().time()
+        for pool in self._pools.values():
+            self._pump(pool, now)
+        if any(pool.count_waiting() for pool in self._pools.values()):
+            self._arm_timer()
--- /dev/null
+++ b/toucanwood/gateway/_exchange.py
@@ -0,0 +1,125 @@
+"""One attempt at a target: the connection, the response, and what they prove."""
+
+import asyncio
+
+from aiohttp.client_exceptions import ClientError
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from toucanwood.gateway._headers import HeaderNames
+from toucanwood.upstream import Progress, TargetClient, TargetConnection, TargetError
+
+# A response with another request's id is a late or second one; the own response may
+# follow it.
+MAX_FOREIGN_RESPONSES = 3
+CONNECT_TIMEOUT_S = 0.4
+
+
+class ConnectTimeout(TargetError):
+    """Report that a target did not answer a connection in time."""
+
+
+class Exchange:
+    """Send one request and receive its response."""
+
+    def __init__(self, client: TargetClient, names: HeaderNames) -> None:
+        self.progress = Progress()
+        self.message: RawResponseMessage
+        self.content: StreamReader
+        self.held = b""
+        self.is_whole = False
+        self._client = client
+        self._names = names
+        self._connection: TargetConnection | None = None
+        self._may_keep = False
+        self._is_closed = False
+
+    async def open(self, address: str, *, reuse: bool) -> None:
+        """Connect to a target; only with `reuse` the connection is kept afterwards."""
+        self._may_keep = reuse
+        opening = self._client.open(address, reuse=reuse, progress=self.progress)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                self._connection = await opening
+        except TimeoutError as error:
+            message = f"no connection to {address} in {CONNECT_TIMEOUT_S:g} s"
+            raise ConnectTimeout(message) from error
+
+    async def send(self, method: str, head: bytes, body: bytes) -> None:
+        """Write the whole request."""
+        connection = self._connection
+        assert connection is not None
+        connection.prepare(method)
+        connection.write(head + body if body else head, self.progress)
+
+    async def receive(self, request_id: str, hold_bytes: int) -> None:
+        """Receive the head and up to `hold_bytes` of the body of the own response."""
+        connection = self._connection
+        assert connection is not None
+        for _ in range(MAX_FOREIGN_RESPONSES + 1):
+            self.message, self.content = await connection.receive()
+            if self._names.read_request_id(self.message.headers) == request_id:
+                await self._hold(hold_bytes)
+                return
+            self._may_keep = False
+            await self._skip()
+        raise TargetError("the target sent only responses to other requests")
+
+    async def receive_any(self, hold_bytes: int) -> RawResponseMessage:
+        """Receive a response without regard to its id, as for a health probe."""
+        connection = self._connection
+        assert connection is not None
+        self.message, self.content = await connection.receive()
+        await self._hold(hold_bytes)
+        return self.message
+
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body, or none at its end."""
+        try:
+            chunk = await self.content.readany()
+        except (ClientError, OSError, RuntimeError) as error:
+            raise TargetError(f"the response is truncated: {error}") from error
+        if not chunk and self._is_cut():
+            raise TargetError("the response ended with a reset")
+        return chunk
+
+    def get_length(self) -> str | None:
+        """Return the declared length of the body."""
+        return self.message.headers.get("Content-Length")
+
+    def close(self, *, is_complete: bool) -> None:
+        """Keep or close the connection; closing one cancels a running request."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        connection = self._connection
+        if connection is None:
+            return
+        reusable = (
+            is_complete and self._may_keep and connection.is_reusable(self.message)
+        )
+        self._client.release(connection, reusable=reusable)
+
+    async def _hold(self, hold_bytes: int) -> None:
+        parts: list[bytes] = []
+        size = 0
+        while size <= hold_bytes:
+            chunk = await self.read_chunk()
+            if not chunk:
+                self.is_whole = True
+                break
+            parts.append(chunk)
+            size += len(chunk)
+        self.held = b"".join(parts)
+
+    async def _skip(self) -> None:
+        while await self.read_chunk():
+            pass
+
+    def _is_cut(self) -> bool:
+        """Return whether a body without a length ended with a reset."""
+        headers = self.message.headers
+        if "Content-Length" in headers or self.message.chunked:
+            return False
+        connection = self._connection
+        return connection is not None and connection.is_reset
--- /dev/null
+++ b/toucanwood/gateway/_forwarder.py
@@ -0,0 +1,316 @@
+"""The attempts of one request, and the answer to its caller."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from toucanwood.gateway._context import Refusal, RequestContext
+from toucanwood.gateway._dispatcher import Dispatcher, Lease
+from toucanwood.gateway._exchange import ConnectTimeout, Exchange
+from toucanwood.gateway._headers import HeaderNames, drop_hop_by_hop
+from toucanwood.httpd import Answer, Turn
+from toucanwood.placement import Need, Outcome, Refused, RetryBudget
+from toucanwood.quota import QuotaGate
+from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
+from toucanwood.verdicts import Verdict, doubt, refuse
+
+log = structlog.get_logger()
+
+# An answer of the target at the very end of the route's time still gets through.
+TIMEOUT_MARGIN_S = 0.08
+# The target is given a little less, so that its own answer at the deadline arrives.
+DEADLINE_MARGIN_S = 0.01
+# Connections that were never made have run nothing, so they don't count as attempts;
+# this bounds them anyway.
+MAX_CONNECTS = 4
+MISDIRECTED = 421
+# A repeat needs at least this time to be of use.
+MIN_REPEAT_S = 0.05
+
+
+@attrs.frozen
+class _Retry:
+    """Tell that another target may be tried; `verdict` holds if none is.
+
+    `is_granted` tells that the repeat is already counted in the budget.
+    """
+
+    verdict: Verdict
+    is_granted: bool = False
+
+
+class Forwarder:
+    """Send a request to targets until one answers, within every limit."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        client: TargetClient,
+        names: HeaderNames,
+        quota: QuotaGate,
+        find_budget: Callable[[str], RetryBudget],
+        hold_bytes: int,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._names = names
+        self._quota = quota
+        self._find_budget = find_budget
+        self._hold_bytes = hold_bytes
+
+    async def serve(self, context: RequestContext, turn: Turn) -> None:
+        """Answer the request; raise Refusal where no target did."""
+        deadline = context.deadline_at + TIMEOUT_MARGIN_S
+        try:
+            async with asyncio.timeout_at(min(deadline, 1e12)):
+                await self._try_targets(context, turn)
+        except TimeoutError:
+            if turn.is_streaming:
+                turn.abort()
+                context.notes["end"] = "cut_at_deadline"
+                return
+            raise Refusal(_describe_timeout(context)) from None
+
+    async def _try_targets(self, context: RequestContext, turn: Turn) -> None:
+        failure: Verdict | None = None
+        for _ in range(MAX_CONNECTS):
+            lease = await self._acquire(context, failure)
+            result = await self._attempt(context, lease, turn)
+            if result is None:
+                return
+            failure = result.verdict
+            context.excluded.add(lease.target.id)
+            if not (result.is_granted or self._may_repeat(context)):
+                break
+        assert failure is not None
+        raise Refusal(self._settle(context, failure))
+
+    async def _acquire(self, context: RequestContext, failure: Verdict | None) -> Lease:
+        decision = await self._dispatcher.acquire(self._build_need(context))
+        if not isinstance(decision, Refused):
+            return decision
+        context.notes["refused"] = decision.reason
+        if failure is not None:
+            raise Refusal(self._settle(context, failure))
+        message = f"service {context.service}: {decision.reason}"
+        raise Refusal(
+            refuse(
+                decision.reason,
+                message,
+                status=503,
+                retry_after=decision.retry_after_s,
+            )
+        )
+
+    def _build_need(self, context: RequestContext) -> Need:
+        regions = context.route.regions
+        organisation = context.organisation
+        if organisation is not None and organisation.regions:
+            both = regions & organisation.regions
+            regions = both if regions else organisation.regions
+        priority = context.route.priority
+        if organisation is not None and organisation.priority is not None:
+            rank: tuple[int, ...] = (organisation.priority, priority)
+        else:
+            rank = (priority, priority)
+        return Need(
+            service=context.service,
+            rank=rank,
+            arrived_at=context.request.arrived_at,
+            objective_at=context.objective_at,
+            deadline_at=context.deadline_at,
+            kind=context.route.name,
+            object_key=context.object_key,
+            regions=regions,
+            excluded=frozenset(context.excluded),
+        )
+
+    def _may_repeat(self, context: RequestContext) -> bool:
+        now = asyncio.get_running_loop().time()
+        if context.deadline_at - now < MIN_REPEAT_S:
+            return False
+        if context.sends == 0:
+            return True
+        if context.may_have_run and not context.is_repeatable:
+            return False
+        if context.sends >= context.route.max_attempts:
+            return False
+        return self._find_budget(context.service).take(now)
+
+    async def _attempt(
+        self, context: RequestContext, lease: Lease, turn: Turn
+    ) -> _Retry | None:
+        """Send the request once; None means that the caller has its answer."""
+        exchange = Exchange(self._client, self._names)
+        outcome = Outcome.CANCELLED
+        report = None
+        is_complete = False
+        try:
+            outcome, result = await self._exchange(context, lease, exchange)
+            if hasattr(exchange, "message"):
+                report = self._names.read_load(exchange.message.headers)
+            if result is not None:
+                return result
+            if exchange.is_whole:
+                exchange.close(is_complete=True)
+                self._release(lease, outcome, report)
+                lease = None  # type: ignore[assignment]
+                await turn.send(self._build_answer(exchange))
+                return None
+            outcome = Outcome.CANCELLED
+            outcome = await self._stream(context, exchange, turn)
+            is_complete = outcome is Outcome.OK
+            return None
+        except TimeoutError:
+            outcome = Outcome.TIMED_OUT
+            raise
+        finally:
+            if lease is not None:
+                if outcome is Outcome.CANCELLED and _is_late(context):
+                    outcome = Outcome.TIMED_OUT
+                exchange.close(is_complete=is_complete)
+                self._release(lease, outcome, report)
+
+    def _release(self, lease: Lease, outcome: Outcome, report: object) -> None:
+        self._dispatcher.release(lease, outcome, report)  # type: ignore[arg-type]
+
+    async def _exchange(
+        self, context: RequestContext, lease: Lease, exchange: Exchange
+    ) -> tuple[Outcome, _Retry | None]:
+        """Send and receive; a retry says why the response can't be passed on."""
+        now = asyncio.get_running_loop().time()
+        try:
+            await exchange.open(lease.target.address, reuse=context.is_repeatable)
+        except (TargetUnreachable, ConnectTimeout) as error:
+            verdict = refuse("target_unreachable", str(error), status=503)
+            return Outcome.UNREACHABLE, _Retry(verdict)
+        except TargetError as error:
+            verdict = refuse("target_unreachable", str(error), status=503)
+            return Outcome.BROKEN, _Retry(verdict)
+        self._count_send(context, now)
+        try:
+            head = self._build_head(context, lease)
+            await exchange.send(context.request.method, head, context.body)
+            await exchange.receive(context.request_id, self._hold_bytes)
+        except TargetError as error:
+            if exchange.progress.written:
+                context.may_have_run = True
+                verdict = doubt("target_failed", str(error), status=502)
+            else:
+                context.sends -= 1
+                verdict = refuse("target_failed", str(error), status=503)
+            return Outcome.BROKEN, _Retry(verdict)
+        except asyncio.CancelledError:
+            context.may_have_run = True
+            raise
+        return self._judge(context, exchange)
+
+    def _judge(
+        self, context: RequestContext, exchange: Exchange
+    ) -> tuple[Outcome, _Retry | None]:
+        """Decide whether a response may be passed on."""
+        status = exchange.message.code
+        headers = exchange.message.headers
+        if status == MISDIRECTED:
+            verdict = refuse("target_replaced", "the target has gone", status=503)
+            return Outcome.REPLACED, _Retry(verdict)
+        if self._names.not_run in headers:
+            message = f"the target did not run the request (status {status})"
+            return Outcome.SHED, _Retry(refuse("target_full", message, status=503))
+        context.may_have_run = True
+        if not self._names.is_signed(headers):
+            message = "the response is not signed by its target"
+            return Outcome.BROKEN, _Retry(doubt("not_signed", message, status=502))
+        if "Content-Encoding" in headers:
+            message = "the response has an encoding that nobody asked for"
+            return Outcome.BROKEN, _Retry(doubt("encoded", message, status=502))
+        if status >= 500:
+            can_repeat = context.is_repeatable and exchange.is_whole
+            if can_repeat and self._may_repeat(context):
+                message = f"the target failed with status {status}"
+                verdict = doubt("target_error", message, status=502)
+                return Outcome.ERROR, _Retry(verdict, is_granted=True)
+            return Outcome.ERROR, None
+        return Outcome.OK, None
+
+    def _count_send(self, context: RequestContext, now: float) -> None:
+        if context.sends == 0:
+            self._find_budget(context.service).add_request(now)
+            if context.organisation is not None:
+                self._quota.count_use(context.organisation)
+        context.sends += 1
+
+    def _build_head(self, context: RequestContext, lease: Lease) -> bytes:
+        request = context.request
+        now = asyncio.get_running_loop().time()
+        remaining = context.deadline_at - now - DEADLINE_MARGIN_S
+        organisation = context.organisation
+        headers = self._names.list_for_target(
+            request.headers.items(),
+            target_id=lease.target.id,
+            remaining_s=max(remaining, 0.001) if remaining < math.inf else 3600.0,
+            organisation=organisation.name if organisation is not None else None,
+        )
+        lines = [f"{request.method} {request.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if request.has_body:
+            lines.append(f"Content-Length: {len(context.body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("utf-8", "surrogateescape")
+
+    def _build_answer(self, exchange: Exchange) -> Answer:
+        message = exchange.message
+        return Answer(
+            status=message.code,
+            reason=message.reason,
+            headers=drop_hop_by_hop(message.headers.items()),
+            body=exchange.held,
+            declared_length=exchange.get_length(),
+        )
+
+    async def _stream(
+        self, context: RequestContext, exchange: Exchange, turn: Turn
+    ) -> Outcome:
+        message = exchange.message
+        headers = drop_hop_by_hop(message.headers.items())
+        await turn.start(message.code, message.reason, headers, exchange.get_length())
+        await turn.write(exchange.held)
+        exchange.held = b""
+        try:
+            while chunk := await exchange.read_chunk():
+                await turn.write(chunk)
+        except TargetError as error:
+            context.notes["end"] = f"cut: {error}"
+            turn.abort()
+            return Outcome.BROKEN
+        turn.finish()
+        return Outcome.OK
+
+    def _settle(self, context: RequestContext, verdict: Verdict) -> Verdict:
+        """Return the verdict for the caller, true for all attempts together."""
+        if not context.may_have_run:
+            if verdict.retry_after is None:
+                retry_after = self._suggest_return()
+                return attrs.evolve(verdict, retry_after=retry_after)
+            return verdict
+        message = f"{verdict.message}; an attempt may have run"
+        return doubt(verdict.code, message, status=502)
+
+    def _suggest_return(self) -> float:
+        return 0.1
+
+
+def _is_late(context: RequestContext) -> bool:
+    now = asyncio.get_running_loop().time()
+    return now >= context.deadline_at
+
+
+def _describe_timeout(context: RequestContext) -> Verdict:
+    if context.may_have_run:
+        message = "no target answered in the time of the route"
+        return doubt("deadline_exceeded", message, status=504)
+    message = "no target could take the request in the time of the route"
+    return refuse("waited", message, status=503, retry_after=0.2)
--- /dev/null
+++ b/toucanwood/gateway/_handler.py
@@ -0,0 +1,75 @@
+"""The steps of one request, and the record of what became of it."""
+
+import asyncio
+from typing import Any
+
+import structlog
+
+from toucanwood.gateway._admission import Admission
+from toucanwood.gateway._context import Refusal, RequestContext
+from toucanwood.gateway._forwarder import Forwarder
+from toucanwood.gateway._headers import HeaderNames
+from toucanwood.httpd import Turn, build_failure
+from toucanwood.verdicts import Verdict
+
+log = structlog.get_logger()
+
+
+class RequestHandler:
+    """Admit, place and answer each request of a caller."""
+
+    def __init__(
+        self, *, admission: Admission, forwarder: Forwarder, names: HeaderNames
+    ) -> None:
+        self._admission = admission
+        self._forwarder = forwarder
+        self._names = names
+        self.counts: dict[str, int] = {}
+
+    async def handle(self, turn: Turn) -> None:
+        """Answer one request."""
+        loop = asyncio.get_running_loop()
+        context: RequestContext | None = None
+        code = "answered"
+        try:
+            context = await self._admission.admit(turn.request, loop.time())
+            await self._forwarder.serve(context, turn)
+        except Refusal as refusal:
+            code = refusal.verdict.code
+            await self._fail(turn, refusal.verdict)
+        except asyncio.CancelledError:
+            code = "caller_left"
+            raise
+        finally:
+            self._record(turn, context, code, loop.time())
+
+    async def _fail(self, turn: Turn, verdict: Verdict) -> None:
+        request_id = self._names.read_request_id(turn.request.headers)
+        headers = [(self._names.request_id, request_id)] if request_id else []
+        await turn.send(build_failure(verdict, headers))
+
+    def _record(
+        self, turn: Turn, context: RequestContext | None, code: str, now: float
+    ) -> None:
+        self.counts[code] = self.counts.get(code, 0) + 1
+        if code == "answered" and turn.status < 500:
+            return
+        request = turn.request
+        details: dict[str, Any] = {}
+        if context is not None:
+            details = {
+                "route": context.route.name,
+                "service": context.service,
+                "sends": context.sends,
+                "may_have_run": context.may_have_run,
+                "revision": context.revision,
+                **context.notes,
+            }
+        log.info(
+            "request_failed",
+            request=self._names.read_request_id(request.headers),
+            code=code,
+            status=turn.status,
+            held_ms=round((now - request.arrived_at) * 1000),
+            **details,
+        )
--- /dev/null
+++ b/toucanwood/gateway/_headers.py
@@ -0,0 +1,121 @@
+"""The headers by which callers, entries and targets talk."""
+
+import re
+from collections.abc import Iterable
+
+import attrs
+from multidict import CIMultiDictProxy
+
+from toucanwood.placement import LoadReport
+
+MS_PER_S = 1000.0
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+_DIGITS = re.compile(r"[0-9]{1,12}")
+_LOAD = re.compile(r"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
+
+
+@attrs.frozen
+class HeaderNames:
+    """Name the headers; an empty name means that there is no such header."""
+
+    request_id: str = "Toucanwood-Request-Id"
+    remaining_ms: str = "Toucanwood-Deadline-Ms"
+    # Names the target that a request is for; any other target must not run it.
+    target_id: str = "Toucanwood-Target"
+    organisation: str = "Toucanwood-Organisation"
+    # Its presence in a response states that the target did not run the request.
+    not_run: str = "Toucanwood-Not-Run"
+    load: str = "Toucanwood-Load"
+    # Proves that a response is the target's own.
+    signature: str = ""
+    answering_target: str = "Toucanwood-Answering-Target"
+    cold_left_ms: str = "Toucanwood-Cold-Ms"
+    object_cookie: str = "toucanwood-object"
+
+    def read_request_id(self, headers: CIMultiDictProxy[str]) -> str:
+        """Return the id of a request or response, or an empty string."""
+        return headers.get(self.request_id, "")
+
+    def read_remaining(self, headers: CIMultiDictProxy[str]) -> float | None:
+        """Return for how many seconds the caller waits, if it says so."""
+        value = headers.get(self.remaining_ms, "").strip()
+        return int(value) / MS_PER_S if _DIGITS.fullmatch(value) else None
+
+    def read_key(self, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the key of the caller."""
+        value = headers.get("Authorization", "")
+        return value[7:].strip() if value[:7].lower() == "bearer " else None
+
+    def read_object(self, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the key of the object that a request concerns."""
+        for cookie in headers.getall("Cookie", ()):
+            for part in cookie.split(";"):
+                name, _, value = part.strip().partition("=")
+                if name == self.object_cookie and value:
+                    return value
+        return None
+
+    def read_load(self, headers: CIMultiDictProxy[str]) -> LoadReport | None:
+        """Return the load that a target reports."""
+        match = _LOAD.fullmatch(headers.get(self.load, ""))
+        if match is None:
+            return None
+        running, waiting, slots = (int(item) for item in match.groups())
+        return LoadReport(running, waiting, slots)
+
+    def read_cold_left(self, headers: CIMultiDictProxy[str]) -> float:
+        """Return for how many seconds a target stays cold."""
+        value = headers.get(self.cold_left_ms, "").strip()
+        return int(value) / MS_PER_S if _DIGITS.fullmatch(value) else 0.0
+
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether a response proves that it is the target's own."""
+        return not self.signature or self.signature in headers
+
+    def list_for_target(
+        self,
+        headers: Iterable[tuple[str, str]],
+        *,
+        target_id: str,
+        remaining_s: float,
+        organisation: str | None,
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request to a target; the key is left out."""
+        own = {
+            self.remaining_ms.lower(),
+            self.target_id.lower(),
+            self.organisation.lower(),
+            "authorization",
+        }
+        listed = drop_hop_by_hop(headers, own)
+        listed.append((self.remaining_ms, str(max(int(remaining_s * MS_PER_S), 1))))
+        listed.append((self.target_id, target_id))
+        if organisation is not None:
+            listed.append((self.organisation, organisation))
+        return listed
+
+
+def drop_hop_by_hop(
+    headers: Iterable[tuple[str, str]], also: Iterable[str] = ()
+) -> list[tuple[str, str]]:
+    """Return the headers that concern more than one connection."""
+    items = list(headers)
+    dropped = {*_HOP_BY_HOP, *also}
+    for name, value in items:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return [(name, value) for name, value in items if name.lower() not in dropped]
--- /dev/null
+++ b/toucanwood/gateway/_prober.py
@@ -0,0 +1,106 @@
+"""Health probes of targets that are in doubt."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from toucanwood.gateway._dispatcher import Dispatcher
+from toucanwood.gateway._exchange import Exchange
+from toucanwood.gateway._headers import HeaderNames
+from toucanwood.placement import TargetRecord
+from toucanwood.upstream import TargetClient, TargetError
+from toucanwood.utils import TaskGroup
+
+log = structlog.get_logger()
+
+CHECK_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 4096
+
+
+class Prober:
+    """Probe targets before they are used again; healthy ones are never probed."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        client: TargetClient,
+        names: HeaderNames,
+        find_health_path: Callable[[str], str],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._names = names
+        self._find_health_path = find_health_path
+        self._tasks = TaskGroup()
+        self._running: set[str] = set()
+        self._next_id = 0
+
+    def start(self) -> None:
+        """Start to look for targets in doubt."""
+        self._tasks.start(self._run(), name="probe-targets")
+
+    async def stop(self) -> None:
+        """Stop every probe."""
+        await self._tasks.stop()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = loop.time()
+            for record in self._dispatcher.list_records():
+                if self._is_due(record, now):
+                    self._running.add(record.id)
+                    self._tasks.start(self._probe(record), name=f"probe-{record.id}")
+
+    def _is_due(self, record: TargetRecord, now: float) -> bool:
+        if record.id in self._running or record.target.is_draining:
+            return False
+        if record.health.is_ejected:
+            return now >= record.health.probe_at
+        return record.is_unproven
+
+    async def _probe(self, record: TargetRecord) -> None:
+        loop = asyncio.get_running_loop()
+        born_ms = record.target.born_ms
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                is_healthy, cold_left_s = await self._ask(record)
+        except (TargetError, TimeoutError) as error:
+            is_healthy, cold_left_s = False, 0.0
+            log.debug("probe_failed", target=record.id, error=repr(error))
+        finally:
+            self._running.discard(record.id)
+        now = loop.time()
+        if record.target.born_ms != born_ms:
+            return
+        if record.health.is_ejected:
+            record.health.record_probe(is_healthy=is_healthy, now=now)
+            log.info("target_probed", target=record.id, healthy=is_healthy)
+        if is_healthy:
+            record.is_unproven = False
+            record.cold_until = max(record.cold_until, now + cold_left_s)
+
+    async def _ask(self, record: TargetRecord) -> tuple[bool, float]:
+        target = record.target
+        self._next_id += 1
+        request_id = f"probe-{self._next_id}"
+        exchange = Exchange(self._client, self._names)
+        try:
+            await exchange.open(target.address, reuse=False)
+            head = (
+                f"GET {self._find_health_path(target.service)} HTTP/1.1\r\n"
+                f"Host: {target.address}\r\n"
+                f"{self._names.request_id}: {request_id}\r\n"
+                f"{self._names.target_id}: {target.id}\r\n\r\n"
+            )
+            await exchange.send("GET", head.encode(), b"")
+            message = await exchange.receive_any(MAX_BODY_BYTES)
+        finally:
+            exchange.close(is_complete=False)
+        answering = message.headers.get(self._names.answering_target, target.id)
+        is_healthy = message.code == 200 and answering == target.id
+        return is_healthy, self._names.read_cold_left(message.headers)
--- /dev/null
+++ b/toucanwood/gateway/_settings.py
@@ -0,0 +1,62 @@
+"""The settings of a gateway."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from toucanwood.utils import Fault, Reader, ValidationError
+
+# Part of the fleet's budget of repeats that entries use; the rest covers requests that
+# are counted in another window than here.
+RETRY_MARGIN = 0.7
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Hold what one entry process needs to know; times are in seconds."""
+
+    id: str
+    data_centre: str
+    region: str
+    listen: str
+    ready: str
+    ready_path: str
+    peer: str
+    peer_port: int
+    controllers: tuple[str, ...]
+    region_by_data_centre: Mapping[str, str]
+    link_bytes_per_s: float
+    stop_grace_s: float = 6.0
+    retry_fraction: float = 0.1
+    retry_slack: float = 10.0
+    retry_window_s: float = 10.0
+    shift_fraction: float = 1.0
+    shift_window_s: float = 2.0
+    max_descriptors: int = 1024
+    metrics: str = ""
+
+    @classmethod
+    def from_config(cls, mapping: Mapping[str, Any]) -> "GatewaySettings":
+        """Build the settings; raise ValidationError that lists every fault."""
+        faults: list[Fault] = []
+        reader = Reader(mapping, "", faults)
+        values: dict[str, Any] = {
+            name: reader.read(name, str)
+            for name in ("id", "data_centre", "region", "listen", "ready", "peer")
+        }
+        values["ready_path"] = reader.read("ready_path", str, "/ready")
+        values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
+        values["controllers"] = tuple(reader.read("controllers", list) or ())
+        values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
+        values["link_bytes_per_s"] = reader.read_number("link_bytes_per_s", low=1)
+        values["metrics"] = reader.read("metrics", str, "")
+        for field in attrs.fields(cls):
+            if field.name not in values:
+                is_integer = isinstance(field.default, int)
+                values[field.name] = reader.read_number(
+                    field.name, field.default, low=0, integer=is_integer
+                )
+        if faults:
+            raise ValidationError(faults)
+        return cls(**values)
--- /dev/null
+++ b/toucanwood/httpd/_answer.py
@@ -0,0 +1,73 @@
+"""Answers to callers, and their bytes."""
+
+import json
+from collections.abc import Iterable
+
+import attrs
+from aiohttp.web_response import REASON_PHRASES
+
+from toucanwood.verdicts import Verdict
+
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+@attrs.frozen
+class Answer:
+    """Hold a complete answer; the headers have no framing of their own."""
+
+    status: int
+    headers: Iterable[tuple[str, str]] = ()
+    body: bytes = b""
+    reason: str | None = None
+    # The Content-Length of an answer to HEAD.
+    declared_length: str | None = None
+    code: str = ""
+
+
+def build_failure(verdict: Verdict, headers: Iterable[tuple[str, str]] = ()) -> Answer:
+    """Build the answer to a request that failed."""
+    lines = [("Content-Type", "application/json"), *headers]
+    lines.append(("Toucanwood-Verdict", verdict.execution.value))
+    if verdict.retry_after is not None:
+        lines.append(("Retry-After", f"{verdict.retry_after:.3f}"))
+    error = {
+        "code": verdict.code,
+        "message": verdict.message,
+        "verdict": verdict.execution.value,
+    }
+    body = json.dumps({"error": error}).encode()
+    return Answer(status=verdict.status, headers=lines, body=body, code=verdict.code)
+
+
+def encode_head(
+    status: int,
+    reason: str | None,
+    headers: Iterable[tuple[str, str]],
+    framing: str,
+    *,
+    closes: bool,
+) -> bytes:
+    """Return the status line and the header lines of an answer."""
+    phrase = REASON_PHRASES.get(status, "") if reason is None else reason
+    lines = [f"HTTP/1.1 {status} {phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if framing:
+        lines.append(framing)
+    if closes:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("utf-8", "surrogateescape")
+
+
+def encode_answer(answer: Answer, *, is_head: bool, closes: bool) -> bytes:
+    """Return the bytes of a complete answer."""
+    length = f"Content-Length: {len(answer.body)}"
+    body = answer.body
+    if is_head or answer.status in _NO_BODY_STATUSES:
+        body = b""
+        length = ""
+        if answer.declared_length is not None and answer.status != 204:
+            length = f"Content-Length: {answer.declared_length}"
+    head = encode_head(
+        answer.status, answer.reason, answer.headers, length, closes=closes
+    )
+    return head + body
--- a/toucanwood/entry/_listener.py
+++ b/toucanwood/httpd/_listener.py
@@ -1,4 +1,4 @@
-"""The listening socket of an entry.
+"""The listening socket of a server.
 
 asyncio's own server drops connections that it has accepted but not yet set up when it
 is closed. This listener hands over every connection of its backlog first.
--- /dev/null
+++ b/toucanwood/httpd/_request.py
@@ -0,0 +1,82 @@
+"""One request of a caller."""
+
+import attrs
+from aiohttp.http import HttpVersion11, RawRequestMessage
+from aiohttp.streams import StreamReader
+from multidict import CIMultiDictProxy
+
+
+class BodyError(Exception):
+    """Report that the caller's request body ended early or is malformed."""
+
+
+class BodyTooLarge(Exception):
+    """Report that the caller's request body is longer than allowed."""
+
+
+@attrs.define(eq=False)
+class CallerRequest:
+    """Hold the head of a request and the stream of its body.
+
+    `arrived_at` is the event loop's time at which the head was complete.
+    """
+
+    message: RawRequestMessage
+    payload: StreamReader
+    arrived_at: float
+    peer: str
+
+    @property
+    def method(self) -> str:
+        """Return the method."""
+        return self.message.method
+
+    @property
+    def target(self) -> str:
+        """Return the request target as the caller sent it."""
+        return self.message.path
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.message.path.partition("?")[0]
+
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """Return the headers."""
+        return self.message.headers
+
+    @property
+    def is_http11(self) -> bool:
+        """Return whether the caller speaks HTTP/1.1."""
+        return self.message.version >= HttpVersion11
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body was announced."""
+        headers = self.message.headers
+        return "Transfer-Encoding" in headers or headers.get(
+            "Content-Length", "0"
+        ) not in ("", "0")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole body; raise BodyError or BodyTooLarge."""
+        if not self.has_body:
+            return b""
+        declared = self.message.headers.get("Content-Length", "")
+        if declared.isdigit() and int(declared) > limit:
+            raise BodyTooLarge(f"the body has {declared} bytes, the limit is {limit}")
+        parts: list[bytes] = []
+        size = 0
+        while chunk := await self._read_chunk():
+            size += len(chunk)
+            if size > limit:
+                raise BodyTooLarge(f"the body has over {limit} bytes")
+            parts.append(chunk)
+        return b"".join(parts)
+
+    async def _read_chunk(self) -> bytes:
+        try:
+            return await self.payload.readany()
+        except Exception as error:
+            raise BodyError(f"the request body is incomplete: {error}") from error
--- /dev/null
+++ b/toucanwood/httpd/_server.py
@@ -0,0 +1,65 @@
+"""A listening HTTP server."""
+
+from collections.abc import Callable
+from typing import Any
+
+from toucanwood.httpd._connection import Connection, Handler, dump_connections
+from toucanwood.httpd._listener import Listener
+from toucanwood.routing import CallerLimits
+
+
+class HttpServer:
+    """Accept connections of callers and run a handler for each request."""
+
+    def __init__(
+        self,
+        handle: Handler,
+        *,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        self._handle = handle
+        self._limits = limits
+        self._listener: Listener | None = None
+        self._is_stopping = False
+        self.connections: set[Connection] = set()
+
+    def start(self, address: str) -> None:
+        """Listen on `ip:port`; raise OSError when that is not possible."""
+        self._listener = Listener(address, self._build_connection)
+
+    def leave(self) -> None:
+        """Make each next answer the last one of its connection."""
+        self._is_stopping = True
+
+    def close(self) -> None:
+        """Accept no further connection."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that have nothing to answer."""
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    def count_busy(self) -> int:
+        """Return the number of connections with a running request."""
+        return sum(not item.is_idle() for item in self.connections)
+
+    async def stop(self) -> None:
+        """Stop listening and reset what is left."""
+        if self._listener is not None:
+            await self._listener.stop()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the number of connections."""
+        return dump_connections(self.connections)
+
+    def _build_connection(self) -> Connection:
+        return Connection(
+            handle=self._handle,
+            limits=self._limits,
+            registry=self.connections,
+            is_stopping=lambda: self._is_stopping,
+        )
--- /dev/null
+++ b/toucanwood/placement/__init__.py
@@ -0,0 +1,29 @@
+"""Decisions at high load: which requests wait, run where, or are turned away.
+
+Nothing here does input or output. Every function takes the time in seconds.
+"""
+
+from toucanwood.placement._budget import RetryBudget
+from toucanwood.placement._cold import ColdStartGate
+from toucanwood.placement._health import Health, Outcome
+from toucanwood.placement._need import Need
+from toucanwood.placement._pool import Placed, Refused, ServicePool, Waiting
+from toucanwood.placement._record import LoadReport, TargetRecord
+from toucanwood.placement._selection import Selection
+from toucanwood.placement._shift import RegionShare
+
+__all__ = [
+    "ColdStartGate",
+    "Health",
+    "LoadReport",
+    "Need",
+    "Outcome",
+    "Placed",
+    "Refused",
+    "RegionShare",
+    "RetryBudget",
+    "Selection",
+    "ServicePool",
+    "TargetRecord",
+    "Waiting",
+]
--- /dev/null
+++ b/toucanwood/placement/_need.py
@@ -0,0 +1,23 @@
+"""What a request needs of a target."""
+
+import attrs
+
+
+@attrs.frozen
+class Need:
+    """Describe one request that is to be placed; times are in seconds.
+
+    `objective_at` is when it would be late, `deadline_at` when it is of no more use.
+    `rank` orders waiting requests; the lowest goes first. `regions` is empty where
+    every region is allowed.
+    """
+
+    service: str
+    rank: tuple[int, ...]
+    arrived_at: float
+    objective_at: float
+    deadline_at: float
+    kind: str = ""
+    object_key: str | None = None
+    regions: frozenset[str] = frozenset()
+    excluded: frozenset[str] = frozenset()
--- /dev/null
+++ b/toucanwood/placement/_pool.py
@@ -0,0 +1,219 @@
+"""The targets of one service and the requests that wait for them."""
+
+import bisect
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from toucanwood.placement._health import Outcome
+from toucanwood.placement._need import Need
+from toucanwood.placement._record import LoadReport, TargetRecord
+from toucanwood.placement._selection import Selection
+
+# Service time that is assumed before the first response.
+FIRST_MEAN_S = 0.3
+# Weight of the last response in the mean service time of a kind of request.
+KIND_WEIGHT = 0.05
+# A refused request is told to come back after at least this time.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 1.0
+# Weight of the last second in the rate of completions.
+RATE_WEIGHT = 0.3
+RATE_INTERVAL_S = 0.5
+
+
+@attrs.frozen
+class Placed:
+    """Name the target that a request goes to, and why."""
+
+    record: TargetRecord
+    reason: str
+
+
+@attrs.frozen
+class Refused:
+    """Tell why a request is turned away and when it may come back, in seconds."""
+
+    reason: str
+    retry_after_s: float
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """Hold a request that waits; `leave_at` is when waiting is of no more use."""
+
+    need: Need
+    leave_at: float
+    order: int
+
+    @property
+    def position(self) -> tuple[Any, ...]:
+        """Return the key by which waiting requests are ordered."""
+        return (*self.need.rank, self.order)
+
+
+@attrs.define
+class ServicePool:
+    """Place the requests of one service on its targets.
+
+    While targets have room, each request starts at once. When there is none, requests
+    wait by rank, for as long as they can still be answered within their objective. A
+    request that would surely be late is turned away at once, so that the slots serve
+    those that are still in time.
+    """
+
+    service: str
+    selection: Selection
+    generator: random.Random = attrs.field(factory=random.Random)
+    records: dict[str, TargetRecord] = attrs.field(factory=dict)
+    _queue: list[Waiting] = attrs.field(factory=list)
+    _order: Any = attrs.field(factory=itertools.count)
+    _mean_s: float = FIRST_MEAN_S
+    _mean_by_kind: dict[str, float] = attrs.field(factory=dict)
+    _rate: float = 0.0
+    _completed: int = 0
+    _rate_at: float = 0.0
+
+    def place(self, need: Need, now: float) -> Placed | Waiting | Refused:
+        """Decide on a request that has just arrived."""
+        if not self._queue or need.rank < self._queue[0].need.rank:
+            placed = self._try_place(need, now)
+            if placed is not None:
+                return placed
+        if not self.selection.has_candidate(self.records.values(), need):
+            return self.refuse(need, "no_target", now)
+        return self._wait(need, now)
+
+    def place_waiting(self, now: float) -> list[tuple[Waiting, Placed | Refused]]:
+        """Start or turn away what has waited, after something has changed."""
+        done: list[tuple[Waiting, Placed | Refused]] = []
+        kept: list[Waiting] = []
+        is_full = False
+        for item in self._queue:
+            placed = None if is_full else self._try_place(item.need, now)
+            if placed is not None:
+                # The next decision must see this one.
+                self.start(placed.record, item.need, now)
+                done.append((item, placed))
+            elif now >= item.leave_at:
+                done.append((item, self.refuse(item.need, "waited", now)))
+            else:
+                kept.append(item)
+                # Requests without restrictions all see the same targets.
+                is_full = is_full or not (item.need.regions or item.need.excluded)
+        self._queue = kept
+        return done
+
+    def withdraw(self, item: Waiting) -> None:
+        """Remove a request whose caller has left."""
+        if item in self._queue:
+            self._queue.remove(item)
+
+    def start(self, record: TargetRecord, need: Need, now: float) -> None:
+        """Count a request that is sent to a target."""
+        record.in_flight += 1
+        self.selection.note_sent(record, now)
+        if need.object_key is not None:
+            record.remember_object(need.object_key)
+
+    def finish(
+        self,
+        record: TargetRecord,
+        need: Need,
+        outcome: Outcome,
+        *,
+        seconds: float,
+        report: LoadReport | None,
+        now: float,
+    ) -> bool:
+        """Count the end of an attempt; return whether the target is ejected by it."""
+        record.in_flight = max(record.in_flight - 1, 0)
+        if report is not None:
+            record.record_load(report, now)
+        if outcome is Outcome.OK:
+            self._record_time(record, need, seconds)
+            self._completed += 1
+        elif outcome is Outcome.SHED and report is None:
+            # A target that sheds is full, whatever was known of it.
+            record.record_load(LoadReport(record.target.slots, 1, 0), now)
+        return record.health.record(outcome, now)
+
+    def find_next_leave(self) -> float | None:
+        """Return when the next waiting request is to be turned away."""
+        return min((item.leave_at for item in self._queue), default=None)
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def estimate_time(self, need: Need) -> float:
+        """Return the expected service time of a kind of request, in seconds."""
+        return self._mean_by_kind.get(need.kind, self._mean_s)
+
+    def estimate_wait(self, need: Need, now: float) -> float:
+        """Return the expected wait until a request of this rank starts."""
+        ahead = sum(1 for item in self._queue if item.need.rank <= need.rank)
+        rate = self._measure_rate(now)
+        return (ahead + 1) / rate if rate > 0 else 0.0
+
+    def refuse(self, need: Need, reason: str, now: float) -> Refused:
+        """Turn a request away; it may come back when there should be room."""
+        wait = self.estimate_wait(need, now)
+        wait = min(max(wait, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        # Requests that are refused together must not come back together.
+        return Refused(reason, wait * self.generator.uniform(0.7, 1.3))
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return a JSON-serialisable description."""
+        return {
+            "waiting": len(self._queue),
+            "mean_ms": round(self._mean_s * 1000),
+            "mean_ms_by_kind": {
+                kind: round(mean * 1000) for kind, mean in self._mean_by_kind.items()
+            },
+            "completions_per_s": round(self._rate, 1),
+            "targets": {key: item.dump(now) for key, item in self.records.items()},
+        }
+
+    def _try_place(self, need: Need, now: float) -> Placed | None:
+        mean_s = self.estimate_time(need)
+        record = self.selection.choose(self.records.values(), need, mean_s, now)
+        return None if record is None else Placed(record, "free_slot")
+
+    def _wait(self, need: Need, now: float) -> Waiting | Refused:
+        leave_at = need.objective_at - self.estimate_time(need)
+        wait = self.estimate_wait(need, now)
+        if now + wait > leave_at:
+            return self.refuse(need, "would_be_late", now)
+        item = Waiting(need, leave_at, next(self._order))
+        bisect.insort(self._queue, item, key=_get_position)
+        return item
+
+    def _record_time(self, record: TargetRecord, need: Need, seconds: float) -> None:
+        record.record_time(seconds)
+        self._mean_s += KIND_WEIGHT * (seconds - self._mean_s)
+        known = self._mean_by_kind.get(need.kind)
+        if known is None:
+            self._mean_by_kind[need.kind] = seconds
+        else:
+            self._mean_by_kind[need.kind] = known + KIND_WEIGHT * (seconds - known)
+
+    def _measure_rate(self, now: float) -> float:
+        """Return the completions a second at this entry."""
+        elapsed = now - self._rate_at
+        if elapsed >= RATE_INTERVAL_S:
+            rate = self._completed / elapsed
+            self._rate += RATE_WEIGHT * (rate - self._rate)
+            self._completed = 0
+            self._rate_at = now
+        return self._rate
+
+
+PoolFactory = Callable[[str], ServicePool]
+
+
+def _get_position(item: Waiting) -> tuple[Any, ...]:
+    return item.position
--- /dev/null
+++ b/toucanwood/quota/_gate.py
@@ -0,0 +1,124 @@
+"""The admission of requests at an entry."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from toucanwood.routing import Organisation
+
+# Without an answer of the leader for this time, an entry admits no more than before.
+STALE_S = 1.5
+# Weight of the last interval in the remembered rate of admission.
+USE_WEIGHT = 0.3
+
+
+@attrs.define
+class Usage:
+    """Count the requests that were offered and those that went to a target."""
+
+    offered: int = 0
+    used: int = 0
+
+
+@attrs.define
+class _Share:
+    """Hold what an entry may admit of one organisation."""
+
+    fraction: float = 1.0
+    # Admits a request whenever the fractions add up to one.
+    credit: float = 0.5
+    # Requests a second that were admitted while the leader answered.
+    use_rate: float = 0.0
+    tokens: float = 1.0
+    filled_at: float = 0.0
+    usage: Usage = attrs.field(factory=Usage)
+
+
+@attrs.define
+class QuotaGate:
+    """Admit the fraction of requests that the leader's answers allow.
+
+    While the leader does not answer, each organisation keeps the rate that this entry
+    admitted before, or its even part of the whole rate where that is more. The rates
+    of all entries together thus stay within the limit on a partition.
+    """
+
+    entry_count: int = 1
+    _shares: dict[str, _Share] = attrs.field(factory=dict)
+    _answered_at: float = 0.0
+    _collected_at: float = 0.0
+
+    def admit(self, organisation: Organisation, now: float) -> bool:
+        """Count a request and return whether it is within the limit."""
+        if organisation.rate <= 0:
+            return True
+        share = self._shares.setdefault(organisation.name, _Share(filled_at=now))
+        share.usage.offered += 1
+        if now - self._answered_at > STALE_S:
+            return self._take_token(share, organisation, now)
+        if share.fraction >= 1.0:
+            return True
+        share.credit += share.fraction
+        if share.credit < 1.0:
+            return False
+        share.credit -= 1.0
+        return True
+
+    def count_use(self, organisation: Organisation) -> None:
+        """Count a request that goes to a target."""
+        share = self._shares.get(organisation.name)
+        if share is not None:
+            share.usage.used += 1
+
+    def collect(self, now: float) -> dict[str, Usage]:
+        """Return the usage since the last call and start to count anew."""
+        elapsed = max(now - self._collected_at, 0.05)
+        self._collected_at = now
+        collected = {}
+        is_fresh = now - self._answered_at <= STALE_S
+        for name, share in self._shares.items():
+            usage = share.usage
+            if is_fresh:
+                rate = usage.used / elapsed
+                share.use_rate += USE_WEIGHT * (rate - share.use_rate)
+            if usage.offered or usage.used:
+                collected[name] = usage
+                share.usage = Usage()
+        return collected
+
+    def put_back(self, usage: Mapping[str, Usage]) -> None:
+        """Count usage again that no leader has taken."""
+        for name, item in usage.items():
+            share = self._shares.get(name)
+            if share is not None:
+                share.usage.offered += item.offered
+                share.usage.used += item.used
+
+    def apply(self, fractions: Mapping[str, float], now: float) -> None:
+        """Take over the fractions that the leader answered with."""
+        self._answered_at = now
+        for name, share in self._shares.items():
+            share.fraction = fractions.get(name, 1.0)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the fractions below 1, by organisation."""
+        return {
+            name: round(share.fraction, 3)
+            for name, share in self._shares.items()
+            if share.fraction < 1.0
+        }
+
+    def _take_token(
+        self, share: _Share, organisation: Organisation, now: float
+    ) -> bool:
+        even = organisation.rate / max(self.entry_count, 1)
+        rate = max(share.use_rate, even)
+        earned = max(now - share.filled_at, 0.0) * rate
+        # One second's worth of requests may come at once.
+        share.tokens = min(share.tokens + earned, max(rate, 1.0))
+        share.filled_at = now
+        if share.tokens < 1.0:
+            return False
+        share.tokens -= 1.0
+        return True
--- /dev/null
+++ b/toucanwood/routing/_table.py
@@ -0,0 +1,186 @@
+"""The routing table that a document describes."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from toucanwood.routing._model import (
+    CallerLimits,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    Split,
+)
+from toucanwood.utils import Fault, Reader, ValidationError
+
+# An objective this far beyond the time-out can't be meant.
+MAX_OBJECTIVE_EXCESS_S = 60.0
+MS_PER_S = 1000.0
+
+
+@attrs.define
+class RoutingTable:
+    """Find the route of a request and the organisation of a key."""
+
+    revision: int
+    routes: dict[str, Route]
+    services: dict[str, Service]
+    organisations: dict[str, Organisation]
+    caller_limits: CallerLimits
+    _by_host: dict[str, list[Route]] = attrs.field(factory=dict, init=False)
+    _by_key: dict[str, Organisation] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        for route in self.routes.values():
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        for organisation in self.organisations.values():
+            for key in organisation.keys:
+                self._by_key[key] = organisation
+
+    @classmethod
+    def from_config(cls, mapping: Mapping[str, Any]) -> "RoutingTable":
+        """Build a table; raise ValidationError that lists every fault."""
+        faults: list[Fault] = []
+        reader = Reader(mapping, "", faults)
+        table = cls(
+            revision=reader.read_number("revision", low=1, integer=True) or 0,
+            routes=_read_named(reader, "routes", _read_route),
+            services=_read_named(reader, "services", _read_service),
+            organisations=_read_named(reader, "organisations", _read_organisation),
+            caller_limits=_read_limits(reader.read_child("caller_limits")),
+        )
+        table._check(reader)
+        if faults:
+            raise ValidationError(faults)
+        return table
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_organisation(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key."""
+        return self._by_key.get(key)
+
+    def _check(self, reader: Reader) -> None:
+        places: dict[tuple[str, str], str] = {}
+        for route in self.routes.values():
+            for split in route.splits:
+                if split.service not in self.services:
+                    allowed = "a declared service"
+                    reader.add_fault(f"routes.{route.name}", split.service, allowed)
+            place = (route.host, route.prefix)
+            if place in places:
+                allowed = f"a host and prefix other than those of {places[place]}"
+                reader.add_fault(f"routes.{route.name}", place, allowed)
+            places[place] = route.name
+        count = sum(len(item.keys) for item in self.organisations.values())
+        if count != len(self._by_key):
+            reader.add_fault("organisations", "a key twice", "each key once")
+
+
+def _read_named(reader: Reader, section: str, read: Any) -> dict[str, Any]:
+    items: dict[str, Any] = {}
+    for child in reader.read_items(section, []):
+        name = child.read("name", str)
+        if name in items:
+            child.add_fault("name", name, "a name that no other item has")
+        items[name] = read(child, name)
+    return items
+
+
+def _read_route(reader: Reader, name: str) -> Route:
+    host = reader.read("host", str) or ""
+    if not host:
+        reader.add_fault("host", host, "a host name")
+    timeout_ms = reader.read_number("timeout_ms", 0, low=0) or 0
+    objective_ms = reader.read_number("objective_ms", 0, low=0) or 0
+    if timeout_ms and objective_ms >= timeout_ms + MAX_OBJECTIVE_EXCESS_S * MS_PER_S:
+        allowed = f"less than {MAX_OBJECTIVE_EXCESS_S:g} s above timeout_ms"
+        reader.add_fault("objective_ms", objective_ms, allowed)
+    kinds = tuple(kind.value for kind in RouteKind)
+    kind = reader.read_choice("kind", kinds)
+    return Route(
+        name=name,
+        host=host.lower(),
+        prefix=reader.read("prefix", str) or "",
+        kind=RouteKind(kind) if kind in kinds else RouteKind.UNSAFE,
+        splits=_read_splits(reader),
+        timeout_s=timeout_ms / MS_PER_S if timeout_ms else None,
+        objective_s=objective_ms / MS_PER_S if objective_ms else None,
+        priority=reader.read_number("priority", 0, integer=True),
+        max_attempts=max(reader.read_number("max_attempts", 1, integer=True), 1),
+        is_open=reader.read("open", bool, False),
+        is_sticky=reader.read("sticky", bool, False),
+        regions=_read_names(reader, "regions"),
+    )
+
+
+def _read_splits(reader: Reader) -> tuple[Split, ...]:
+    service = reader.read("service", str, None)
+    if service is not None:
+        return (Split(service, 1.0),)
+    splits = []
+    for child in reader.read_items("splits"):
+        name = child.read("service", str) or ""
+        splits.append(Split(name, child.read_number("weight", low=0) or 0.0))
+    if sum(split.weight for split in splits) <= 0:
+        reader.add_fault("splits", len(splits), "weights that add up to more than 0")
+    return tuple(splits)
+
+
+def _read_service(reader: Reader, name: str) -> Service:
+    return Service(
+        name=name,
+        health_path=reader.read("health_path", str, "/health"),
+        max_connections=reader.read_number("max_connections", 0, low=0, integer=True),
+        cold_start_s=reader.read_number("cold_start_s", 0.0, low=0),
+        cold_rate=reader.read_number("cold_rate", 0.0, low=0),
+    )
+
+
+def _read_organisation(reader: Reader, name: str) -> Organisation:
+    keys = reader.read("keys", list, [])
+    if not all(isinstance(key, str) and key for key in keys):
+        reader.add_fault("keys", len(keys), "a list of strings")
+        keys = []
+    return Organisation(
+        name=name,
+        keys=tuple(keys),
+        priority=reader.read_number("priority", None, integer=True),
+        rate=reader.read_number("rate", 0.0, low=0),
+        burst=reader.read_number("burst", 0.0, low=0),
+        regions=_read_names(reader, "regions"),
+    )
+
+
+def _read_limits(reader: Reader) -> CallerLimits:
+    default = CallerLimits()
+    header_ms = default.header_timeout_s * MS_PER_S
+    idle_ms = default.idle_timeout_s * MS_PER_S
+    return CallerLimits(
+        header_bytes=reader.read_number(
+            "header_bytes", default.header_bytes, low=1, integer=True
+        ),
+        body_bytes=reader.read_number(
+            "body_bytes", default.body_bytes, low=0, integer=True
+        ),
+        header_timeout_s=reader.read_number("header_timeout_ms", header_ms, low=1)
+        / MS_PER_S,
+        idle_timeout_s=reader.read_number("idle_timeout_ms", idle_ms, low=1) / MS_PER_S,
+    )
+
+
+def _read_names(reader: Reader, name: str) -> frozenset[str]:
+    names = reader.read(name, list, [])
+    if not all(isinstance(item, str) for item in names):
+        reader.add_fault(name, names, "a list of strings")
+        return frozenset()
+    return frozenset(names)
--- a/toucanwood/server/_serve.py
+++ b/toucanwood/server/_serve.py
@@ -7,8 +7,8 @@
 
 from toucanwood.consensus import StorageError
 from toucanwood.server._instance import Instance
-from toucanwood.server._logging import configure_logging
 from toucanwood.settings import Settings
+from toucanwood.utils.logs import configure_logging
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/toucanwood/entry/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -44,10 +44,24 @@
     """Report that no connection to a target was established."""
 
 
+class TargetProtocol(ResponseHandler):
+    """Remember how the connection ended.
+
+    aiohttp ends a body without a length in the same way for a close and for a reset.
+    """
+
+    lost_by_error = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note whether the connection was reset."""
+        self.lost_by_error = exc is not None
+        super().connection_lost(exc)
+
+
 class TargetConnection:
     """Carry one request at a time to a target."""
 
-    def __init__(self, address: str, protocol: ResponseHandler) -> None:
+    def __init__(self, address: str, protocol: TargetProtocol) -> None:
         self.address = address
         self.idle_since = 0.0
         self.broken = False
@@ -112,6 +126,11 @@
         except (ClientError, HttpProcessingError, EofStream, OSError) as error:
             raise TargetError(f"no valid response: {type(error).__name__}") from error
 
+    @property
+    def is_reset(self) -> bool:
+        """Return whether the connection ended by an error and not by a close."""
+        return self._protocol.lost_by_error
+
     def is_reusable(self, message: RawResponseMessage) -> bool:
         """Return whether the response ended in a way that allows another request."""
         # The protocol wants to close when the body is not complete, or when more than
@@ -179,7 +198,7 @@
         host, _, port = address.rpartition(":")
         try:
             _, protocol = await loop.create_connection(
-                lambda: ResponseHandler(loop), host.strip("[]"), int(port)
+                lambda: TargetProtocol(loop), host.strip("[]"), int(port)
             )
         except (OSError, ValueError) as error:
             raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
--- a/toucanwood/utils/__init__.py
+++ b/toucanwood/utils/__init__.py
@@ -1,5 +1,6 @@
 """Validation and helpers that every package shares."""
 
+from toucanwood.utils._process import Program, run_program
 from toucanwood.utils._tasks import TaskGroup, cancel_and_wait
 from toucanwood.utils._validation import (
     Fault,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Fault",
+    "Program",
     "Reader",
     "TaskGroup",
     "ValidationError",
@@ -19,5 +21,6 @@
     "cancel_and_wait",
     "check_range",
     "load_yaml",
+    "run_program",
     "run_virtual",
 ]
