Send each object to few targets and learn warm and other times apart

Every entry spread each object over 3 to 4 targets, and every such target had to learn it; other entries' load faded to zero between reports. Change: rendezvous ranks that all entries share, a short queue at a warm target, separate mean times, the mean of reported load where reports are old.

--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -41,6 +41,7 @@
     need: Need
     started_at: float
     reason: str
+    warm_chance: float
 
     @property
     def target(self) -> Target:
@@ -110,6 +111,7 @@
             lease.need,
             outcome,
             seconds=now - lease.started_at,
+            warm_chance=lease.warm_chance,
             report=report,
             now=now,
         )
@@ -138,6 +140,12 @@
             pool.selection.cold_rate = rules.cold_rate if rules is not None else 0.0
             pool.selection.entries = entries
             pool.selection.evacuated = self._evacuated
+            pool.selection.ranks.set_targets(
+                record.id
+                for record in pool.records.values()
+                if not record.target.is_draining
+                and record.target.data_centre not in self._evacuated
+            )
             self._pump(pool, now)
 
     def list_records(self) -> list[TargetRecord]:
@@ -156,7 +164,9 @@
         record = pool.records.get(target.id)
         if record is None:
             region = self._find_region(target.data_centre)
-            record = TargetRecord(target, region, self._estimate_latency(target))
+            record = TargetRecord(
+                target, region, self._estimate_latency(target), seen_at=now
+            )
             pool.records[target.id] = record
             record.cold_until = now + target.cold_left_s
             self._remove_elsewhere(target)
@@ -164,7 +174,7 @@
         if record.target == target:
             return
         if record.target.born_ms != target.born_ms:
-            record.restart()
+            record.restart(now)
             record.health.is_ejected = False
             record.health.strikes = 0.0
         if target.cold_left_s > 0:
@@ -212,7 +222,7 @@
         self, pool: ServicePool, placed: Placed, need: Need, now: float
     ) -> Lease:
         pool.start(placed.record, need, now)
-        return Lease(placed.record, need, now, placed.reason)
+        return _build_lease(placed, need, now)
 
     def _pump(self, pool: ServicePool, now: float) -> None:
         if not pool.count_waiting():
@@ -222,7 +232,7 @@
             given: Lease | Refused = (
                 decision
                 if isinstance(decision, Refused)
-                else Lease(decision.record, item.need, now, decision.reason)
+                else _build_lease(decision, item.need, now)
             )
             if future is not None and not future.done():
                 future.set_result(given)
@@ -236,6 +246,7 @@
             lease.need,
             Outcome.CANCELLED,
             seconds=0.0,
+            warm_chance=lease.warm_chance,
             report=None,
             now=now,
         )
@@ -252,3 +263,7 @@
             self._pump(pool, now)
         if any(pool.count_waiting() for pool in self._pools.values()):
             self._arm_timer()
+
+
+def _build_lease(placed: Placed, need: Need, now: float) -> Lease:
+    return Lease(placed.record, need, now, placed.reason, placed.choice.warm_chance)
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -184,6 +184,7 @@
         if self._is_ending:
             return
         try:
+            assert self._parser is not None
             messages, upgraded, _tail = self._parser.feed_data(data)
         except HttpProcessingError as error:
             self._refuse_malformed(error)
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -11,12 +11,9 @@
 from toucanwood.placement._health import Outcome
 from toucanwood.placement._need import Need
 from toucanwood.placement._record import LoadReport, TargetRecord
-from toucanwood.placement._selection import Selection
+from toucanwood.placement._selection import Choice, Selection
+from toucanwood.placement._times import KindTimes
 
-# Service time that is assumed before the first response.
-FIRST_MEAN_S = 0.3
-# Weight of the last response in the mean service time of a kind of request.
-KIND_WEIGHT = 0.05
 # A refused request is told to come back after at least this time.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 1.0
@@ -27,11 +24,16 @@
 
 @attrs.frozen
 class Placed:
-    """Name the target that a request goes to, and why."""
+    """Name the target that a request goes to, and what is expected there."""
 
-    record: TargetRecord
+    choice: Choice
     reason: str
 
+    @property
+    def record(self) -> TargetRecord:
+        """Return what is known of the target."""
+        return self.choice.record
+
 
 @attrs.frozen
 class Refused:
@@ -71,8 +73,7 @@
     records: dict[str, TargetRecord] = attrs.field(factory=dict)
     _queue: list[Waiting] = attrs.field(factory=list)
     _order: Any = attrs.field(factory=itertools.count)
-    _mean_s: float = FIRST_MEAN_S
-    _mean_by_kind: dict[str, float] = attrs.field(factory=dict)
+    _times: dict[str, KindTimes] = attrs.field(factory=dict)
     _rate: float = 0.0
     _completed: int = 0
     _rate_at: float = 0.0
@@ -126,6 +127,7 @@
         outcome: Outcome,
         *,
         seconds: float,
+        warm_chance: float,
         report: LoadReport | None,
         now: float,
     ) -> bool:
@@ -134,7 +136,9 @@
         if report is not None:
             record.record_load(report, now)
         if outcome is Outcome.OK:
-            self._record_time(record, need, seconds)
+            times = self.find_times(need)
+            record.record_time(seconds, times.estimate(warm_chance))
+            times.record(seconds, warm_chance)
             self._completed += 1
         elif outcome is Outcome.SHED and report is None:
             # A target that sheds is full, whatever was known of it.
@@ -149,9 +153,9 @@
         """Return the number of requests that wait."""
         return len(self._queue)
 
-    def estimate_time(self, need: Need) -> float:
-        """Return the expected service time of a kind of request, in seconds."""
-        return self._mean_by_kind.get(need.kind, self._mean_s)
+    def find_times(self, need: Need) -> KindTimes:
+        """Return the times of a kind of request."""
+        return self._times.setdefault(need.kind, KindTimes())
 
     def estimate_wait(self, need: Need, now: float) -> float:
         """Return the expected wait until a request of this rank starts."""
@@ -170,21 +174,26 @@
         """Return a JSON-serialisable description."""
         return {
             "waiting": len(self._queue),
-            "mean_ms": round(self._mean_s * 1000),
-            "mean_ms_by_kind": {
-                kind: round(mean * 1000) for kind, mean in self._mean_by_kind.items()
+            "times_ms": {
+                kind: [round(1000 * item.get_warm()), round(1000 * item.get_other())]
+                for kind, item in self._times.items()
             },
             "completions_per_s": round(self._rate, 1),
             "targets": {key: item.dump(now) for key, item in self.records.items()},
         }
 
     def _try_place(self, need: Need, now: float) -> Placed | None:
-        mean_s = self.estimate_time(need)
-        record = self.selection.choose(self.records.values(), need, mean_s, now)
-        return None if record is None else Placed(record, "free_slot")
+        times = self.find_times(need)
+        choice = self.selection.choose(self.records.values(), need, times, now)
+        if choice is None:
+            return None
+        if now + choice.expected_s <= need.objective_at:
+            return Placed(choice, "in_time")
+        # A late answer is still worth something, but not a place in a queue.
+        return Placed(choice, "late") if choice.has_free_slot else None
 
     def _wait(self, need: Need, now: float) -> Waiting | Refused:
-        leave_at = need.objective_at - self.estimate_time(need)
+        leave_at = need.objective_at - self.find_times(need).get_warm()
         wait = self.estimate_wait(need, now)
         if now + wait > leave_at:
             return self.refuse(need, "would_be_late", now)
@@ -192,15 +201,6 @@
         bisect.insort(self._queue, item, key=_get_position)
         return item
 
-    def _record_time(self, record: TargetRecord, need: Need, seconds: float) -> None:
-        record.record_time(seconds)
-        self._mean_s += KIND_WEIGHT * (seconds - self._mean_s)
-        known = self._mean_by_kind.get(need.kind)
-        if known is None:
-            self._mean_by_kind[need.kind] = seconds
-        else:
-            self._mean_by_kind[need.kind] = known + KIND_WEIGHT * (seconds - known)
-
     def _measure_rate(self, now: float) -> float:
         """Return the completions a second at this entry."""
         elapsed = now - self._rate_at
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -8,12 +8,19 @@
 from toucanwood.fleet import Target
 from toucanwood.placement._health import Health
 
-# The objects that an entry remembers to have sent to a target.
-MAX_REMEMBERED_OBJECTS = 64
-# Weight of the last response in the mean service time of a target.
-TIME_WEIGHT = 0.15
-# A report counts fully when it is new and not at all after this many service times.
-REPORT_LIFE = 2.0
+# The objects that an entry remembers to have sent to a target. Targets keep a few
+# dozen warm, and those that other entries send count there too.
+MAX_REMEMBERED_OBJECTS = 32
+# Weight of the last response in the speed of a target.
+SPEED_WEIGHT = 0.1
+MIN_SPEED = 0.5
+MAX_SPEED = 10.0
+# The last report of the load counts for this time, then the mean of the reports does.
+REPORT_LIFE_S = 0.3
+# Weight of the last report in that mean.
+REPORT_WEIGHT = 0.3
+# Without a report for this time, nothing is known of other entries' requests.
+REPORT_TIMEOUT_S = 4.0
 
 
 @attrs.frozen
@@ -27,19 +34,24 @@
 
 @attrs.define
 class TargetRecord:
-    """Hold the load, health and speed of one target, as seen by one entry."""
+    """Hold the load, health and speed of one target, as seen by one entry.
+
+    `speed` is the time of its responses over what was expected: 2 is half as fast.
+    """
 
     target: Target
     region: str
     latency_s: float
+    seen_at: float = float("-inf")
     in_flight: int = 0
     cold_until: float = 0.0
     # Coldness that was assumed and not reported; a probe tells the truth.
     is_unproven: bool = False
-    mean_s: float | None = None
+    speed: float = 1.0
     health: Health = attrs.field(factory=Health)
     _others: float = 0.0
-    _reported_at: float = -1e9
+    _others_mean: float = 0.0
+    _reported_at: float = float("-inf")
     _objects: "OrderedDict[str, None]" = attrs.field(factory=OrderedDict)
 
     @property
@@ -55,21 +67,22 @@
         """Take over a report; what is not of this entry is the load of others."""
         total = report.running + report.waiting
         self._others = max(total - self.in_flight, 0)
+        self._others_mean += REPORT_WEIGHT * (self._others - self._others_mean)
         self._reported_at = now
 
-    def estimate_load(self, now: float, mean_s: float) -> float:
+    def estimate_load(self, now: float) -> float:
         """Return the requests that the target has, those of other entries estimated."""
-        life = REPORT_LIFE * mean_s
         age = now - self._reported_at
-        weight = max(1.0 - age / life, 0.0) if life > 0 else 0.0
-        return self.in_flight + self._others * weight
+        if age > REPORT_TIMEOUT_S:
+            return self.in_flight
+        weight = max(1.0 - age / REPORT_LIFE_S, 0.0)
+        others = weight * self._others + (1.0 - weight) * self._others_mean
+        return self.in_flight + others
 
-    def record_time(self, seconds: float) -> None:
-        """Count the service time of one response."""
-        if self.mean_s is None:
-            self.mean_s = seconds
-        else:
-            self.mean_s += TIME_WEIGHT * (seconds - self.mean_s)
+    def record_time(self, seconds: float, expected_s: float) -> None:
+        """Count the time of one response over what was expected of a usual target."""
+        ratio = min(max(seconds / expected_s, MIN_SPEED), MAX_SPEED)
+        self.speed += SPEED_WEIGHT * (ratio - self.speed)
 
     def remember_object(self, key: str) -> None:
         """Note that the target handles an object."""
@@ -82,10 +95,12 @@
         """Return whether this entry has sent the object to the target lately."""
         return key in self._objects
 
-    def restart(self) -> None:
+    def restart(self, now: float) -> None:
         """Forget what a new start of the target has lost."""
         self._objects.clear()
-        self._others = 0.0
+        self._others = self._others_mean = 0.0
+        self.speed = 1.0
+        self.seen_at = now
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return a JSON-serialisable description."""
@@ -93,9 +108,9 @@
             "service": self.target.service,
             "data_centre": self.target.data_centre,
             "in_flight": self.in_flight,
-            "others": self._others,
-            "report_age": round(now - self._reported_at, 2),
-            "mean_ms": None if self.mean_s is None else round(self.mean_s * 1000),
+            "others": round(self._others_mean, 1),
+            "report_age": round(min(now - self._reported_at, 1e6), 2),
+            "speed": round(self.speed, 2),
             "cold": self.is_cold(now),
             **self.health.dump(),
         }
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -1,60 +1,70 @@
 """The choice of a target among those of a service."""
 
-import hashlib
 from collections.abc import Collection, Iterable
 
 import attrs
 
+from toucanwood.placement._affinity import (
+    KNOWN_CHANCE,
+    NEW_CHANCE,
+    NEW_TARGET_S,
+    OTHER_CHANCE,
+    WARM_CHANCES,
+    ObjectRanks,
+)
 from toucanwood.placement._cold import ColdStartGate, rank_senders
 from toucanwood.placement._need import Need
 from toucanwood.placement._record import TargetRecord
 from toucanwood.placement._shift import RegionShare
+from toucanwood.placement._times import KindTimes
 
-# A target that has handled an object lately takes about this part of the time.
-WARM_FACTOR = 0.4
-# All entries prefer the same targets for an object that they don't know, by this part
-# of the time, so that few targets have to learn it.
-PREFERENCE_FACTOR = 0.3
+# A target that has just started takes about this many times as long.
 COLD_FACTOR = 2.0
 # A busy target is a little slower than an idle one; spreads load between equals.
-LOAD_PENALTY = 0.1
-# The estimate of other entries' requests is a fraction; this part of a slot may lack.
-ROUNDING_SLOTS = 0.5
+LOAD_PENALTY = 0.05
+# Requests may queue at a target up to this part of its slots: waiting for a target
+# that has the object warm is shorter than a run at another one.
+QUEUE_PART = 0.34
+
+
+@attrs.frozen
+class Choice:
+    """Hold a target and what is expected of it there; times are in seconds."""
+
+    record: TargetRecord
+    expected_s: float
+    has_free_slot: bool
+    warm_chance: float
 
 
 @attrs.define
 class Selection:
-    """Choose the target with the lowest expected time that has a free slot."""
+    """Choose the target with the lowest expected time that has room."""
 
     entry_id: str
     evacuated: Collection[str] = frozenset()
     entries: Collection[str] = frozenset()
     cold_rate: float = 0.0
     share: RegionShare | None = None
+    ranks: ObjectRanks = attrs.field(factory=ObjectRanks)
     _gates: dict[str, ColdStartGate] = attrs.field(factory=dict)
 
     def choose(
-        self,
-        records: Iterable[TargetRecord],
-        need: Need,
-        mean_s: float,
-        now: float,
-    ) -> TargetRecord | None:
+        self, records: Iterable[TargetRecord], need: Need, times: KindTimes, now: float
+    ) -> Choice | None:
         """Return the best target with room, or None."""
         full = self.share.list_full(now) if self.share is not None else frozenset()
-        best: TargetRecord | None = None
-        best_cost = float("inf")
-        for record in records:
-            if not self._is_candidate(record, need) or record.region in full:
+        best: Choice | None = None
+        candidates = [item for item in records if self._is_candidate(item, need)]
+        allowed = {item.id for item in candidates} if need.regions else None
+        for record in candidates:
+            if record.region in full:
                 continue
-            load = record.estimate_load(now, mean_s)
-            if load + 1 > record.target.slots + ROUNDING_SLOTS:
+            choice = self._consider(record, need, times, allowed, now)
+            if choice is None or not self._may_warm_up(record, now):
                 continue
-            if not self._may_warm_up(record, now):
-                continue
-            cost = self._estimate_cost(record, need, mean_s, load, now)
-            if cost < best_cost:
-                best, best_cost = record, cost
+            if best is None or choice.expected_s < best.expected_s:
+                best = choice
         return best
 
     def has_candidate(self, records: Iterable[TargetRecord], need: Need) -> bool:
@@ -97,36 +107,45 @@
             self._gates[record.id] = gate
         return gate
 
-    def _estimate_cost(
+    def _consider(
         self,
         record: TargetRecord,
         need: Need,
-        mean_s: float,
-        load: float,
+        times: KindTimes,
+        allowed: Collection[str] | None,
         now: float,
-    ) -> float:
-        factor = 1.0
-        if need.object_key is not None:
-            factor = self._estimate_warmth(record, need)
+    ) -> Choice | None:
+        """Return what to expect of a target, or None where it has no room."""
+        slots = record.target.slots
+        load = record.estimate_load(now)
+        if load + 1 > slots * (1.0 + QUEUE_PART):
+            return None
+        chance = self._estimate_warmth(record, need, allowed, now)
+        factor = record.speed / max(record.health.success_rate, 0.1)
         if record.is_cold(now):
             factor *= COLD_FACTOR
-        if record.mean_s is not None and mean_s > 0:
-            # A slow target shows in its own mean; a single fast one is not trusted.
-            factor *= max(record.mean_s / mean_s, 0.8)
-        factor *= 1.0 + LOAD_PENALTY * load / record.target.slots
-        return 2 * record.latency_s + mean_s * factor / max(
-            record.health.success_rate, 0.1
-        )
+        factor *= 1.0 + LOAD_PENALTY * load / slots
+        queued = max(load + 1 - slots, 0.0)
+        wait = queued / slots * times.get_warm() * record.speed
+        expected = 2 * record.latency_s + wait + times.estimate(chance) * factor
+        return Choice(record, expected, load + 1 <= slots, chance)
 
-    def _estimate_warmth(self, record: TargetRecord, need: Need) -> float:
+    def _estimate_warmth(
+        self,
+        record: TargetRecord,
+        need: Need,
+        allowed: Collection[str] | None,
+        now: float,
+    ) -> float:
+        """Return the chance that the target has the request's object warm."""
         key = need.object_key
-        assert key is not None
+        if key is None:
+            return KNOWN_CHANCE
         if record.knows_object(key):
-            return WARM_FACTOR
-        return 1.0 - PREFERENCE_FACTOR * _score(record.id, key)
-
-
-def _score(target_id: str, key: str) -> float:
-    """Return a number in [0, 1) by which all entries prefer the same targets."""
-    digest = hashlib.blake2b(f"{target_id}|{key}".encode(), digest_size=4).digest()
-    return int.from_bytes(digest, "big") / 2**32
+            return KNOWN_CHANCE
+        rank = self.ranks.find_rank(key, record.id, allowed)
+        if rank is None:
+            return OTHER_CHANCE
+        if now - record.seen_at < NEW_TARGET_S:
+            return NEW_CHANCE * WARM_CHANCES[rank]
+        return WARM_CHANCES[rank]
