--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -10,6 +10,7 @@
 
 from toucanwood.fleet import FleetView, Target
 from toucanwood.placement import (
+    OWN_REGION_WEIGHT,
     LoadReport,
     Need,
     Outcome,
@@ -140,12 +141,7 @@
             pool.selection.cold_rate = rules.cold_rate if rules is not None else 0.0
             pool.selection.entries = entries
             pool.selection.evacuated = self._evacuated
-            pool.selection.ranks.set_targets(
-                record.id
-                for record in pool.records.values()
-                if not record.target.is_draining
-                and record.target.data_centre not in self._evacuated
-            )
+            pool.selection.ranks.set_targets(self._weigh_targets(pool))
             self._pump(pool, now)
 
     def list_records(self) -> list[TargetRecord]:
@@ -159,6 +155,15 @@
         now = asyncio.get_running_loop().time()
         return {name: pool.dump(now) for name, pool in self._pools.items()}
 
+    def _weigh_targets(self, pool: ServicePool) -> dict[str, float]:
+        """Return the targets that may get objects, with their weights."""
+        return {
+            record.id: OWN_REGION_WEIGHT if record.region == self._region else 1.0
+            for record in pool.records.values()
+            if not record.target.is_draining
+            and record.target.data_centre not in self._evacuated
+        }
+
     def _update_target(self, target: Target, now: float) -> None:
         pool = self._find_pool(target.service)
         record = pool.records.get(target.id)
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -3,6 +3,7 @@
 Nothing here does input or output. Every function takes the time in seconds.
 """
 
+from toucanwood.placement._affinity import OWN_REGION_WEIGHT
 from toucanwood.placement._budget import RetryBudget
 from toucanwood.placement._cold import ColdStartGate
 from toucanwood.placement._health import Health, Outcome
@@ -13,6 +14,7 @@
 from toucanwood.placement._shift import RegionShare
 
 __all__ = [
+    "OWN_REGION_WEIGHT",
     "ColdStartGate",
     "Health",
     "LoadReport",
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -24,7 +24,7 @@
 LOAD_PENALTY = 0.05
 # Requests may queue at a target up to this part of its slots: waiting for a target
 # that has the object warm is shorter than a run at another one.
-QUEUE_PART = 0.34
+QUEUE_PART = 0.67
 
 
 @attrs.frozen
