--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -20,6 +20,8 @@
 # Weight of the last second in the rate of completions.
 RATE_WEIGHT = 0.3
 RATE_INTERVAL_S = 0.5
+# Below this part of slots in use, late requests may run anywhere.
+SPARE_USE = 0.6
 
 
 @attrs.frozen
@@ -155,7 +157,11 @@
 
     def find_times(self, need: Need) -> KindTimes:
         """Return the times of a kind of request."""
-        return self._times.setdefault(need.kind, KindTimes())
+        times = self._times.get(need.kind)
+        if times is None:
+            times = KindTimes(max(need.objective_at - need.arrived_at, 0.001))
+            self._times[need.kind] = times
+        return times
 
     def estimate_wait(self, need: Need, now: float) -> float:
         """Return the expected wait until a request of this rank starts."""
@@ -189,8 +195,24 @@
             return None
         if now + choice.expected_s <= need.objective_at:
             return Placed(choice, "in_time")
-        # A late answer is still worth something, but not a place in a queue.
-        return Placed(choice, "late") if choice.has_free_slot else None
+        return Placed(choice, "late") if self._may_run_late(choice, now) else None
+
+    def _may_run_late(self, choice: Choice, now: float) -> bool:
+        """Return whether a request that will be late may take a slot.
+
+        A target that is to handle an object has to learn it once. Elsewhere a run is
+        long and its late answer is worth little, so it takes only what is left over.
+        """
+        if not choice.has_free_slot:
+            return False
+        return choice.is_preferred or self.measure_use(now) < SPARE_USE
+
+    def measure_use(self, now: float) -> float:
+        """Return the part of the slots in use, as estimated here."""
+        usable = [item for item in self.records.values() if not item.health.is_ejected]
+        slots = sum(item.target.slots for item in usable)
+        load = sum(item.estimate_load(now) for item in usable)
+        return load / slots if slots else 1.0
 
     def _wait(self, need: Need, now: float) -> Waiting | Refused:
         leave_at = need.objective_at - self.find_times(need).get_warm()
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -1,5 +1,6 @@
 """What an entry knows of one target."""
 
+import math
 from collections import OrderedDict
 from typing import Any
 
@@ -19,8 +20,9 @@
 REPORT_LIFE_S = 0.3
 # Weight of the last report in that mean.
 REPORT_WEIGHT = 0.3
-# Without a report for this time, nothing is known of other entries' requests.
-REPORT_TIMEOUT_S = 4.0
+# The mean fades with this time constant. A target that seems full gets no request and
+# so sends no report; with a longer time it would stay unused while it is idle.
+REPORT_FADE_S = 0.5
 
 
 @attrs.frozen
@@ -73,11 +75,9 @@
     def estimate_load(self, now: float) -> float:
         """Return the requests that the target has, those of other entries estimated."""
         age = now - self._reported_at
-        if age > REPORT_TIMEOUT_S:
-            return self.in_flight
         weight = max(1.0 - age / REPORT_LIFE_S, 0.0)
-        others = weight * self._others + (1.0 - weight) * self._others_mean
-        return self.in_flight + others
+        mean = self._others_mean * math.exp(-age / REPORT_FADE_S)
+        return self.in_flight + weight * self._others + (1.0 - weight) * mean
 
     def record_time(self, seconds: float, expected_s: float) -> None:
         """Count the time of one response over what was expected of a usual target."""
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -25,6 +25,8 @@
 # Requests may queue at a target up to this part of its slots: waiting for a target
 # that has the object warm is shorter than a run at another one.
 QUEUE_PART = 0.67
+# The chance of the first target of an object, or of one that is known to have it.
+PREFERRED_CHANCE = WARM_CHANCES[0]
 
 
 @attrs.frozen
@@ -35,6 +37,8 @@
     expected_s: float
     has_free_slot: bool
     warm_chance: float
+    # The target is the first one for the request's object.
+    is_preferred: bool
 
 
 @attrs.define
@@ -128,7 +132,8 @@
         queued = max(load + 1 - slots, 0.0)
         wait = queued / slots * times.get_warm() * record.speed
         expected = 2 * record.latency_s + wait + times.estimate(chance) * factor
-        return Choice(record, expected, load + 1 <= slots, chance)
+        is_preferred = chance >= PREFERRED_CHANCE
+        return Choice(record, expected, load + 1 <= slots, chance, is_preferred)
 
     def _estimate_warmth(
         self,
--- a/toucanwood/placement/_times.py
+++ b/toucanwood/placement/_times.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-# Assumed before the first response.
-FIRST_TIME_S = 0.4
+# Assumed before the first response, as a part of the request's objective.
+FIRST_OTHER_PART = 1.2
 # A warm object takes about this part of the time until it is measured.
 FIRST_WARM_PART = 0.4
 TIME_WEIGHT = 0.05
@@ -16,6 +16,7 @@
 class KindTimes:
     """Hold the mean times of one kind of request, in seconds."""
 
+    objective_s: float = 0.4
     warm_s: float | None = None
     other_s: float | None = None
 
@@ -36,7 +37,7 @@
             return self.other_s
         if self.warm_s is not None:
             return self.warm_s / FIRST_WARM_PART
-        return FIRST_TIME_S
+        return FIRST_OTHER_PART * self.objective_s
 
     def record(self, seconds: float, warm_chance: float) -> None:
         """Count one response."""
