--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,12 +4,15 @@
 """
 
 import concurrent.futures
+import os
 import pathlib
 import re
 import subprocess
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# The folder has the name of a module of Python, so its tests are named from inside it.
+ADAPTER = ROOT / "platform"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_PARALLEL = 5
 MODULE_TIMEOUT_S = 240
@@ -20,7 +23,14 @@
     paths = sorted(ROOT.glob("*/tests/test_*.py")) + sorted(
         ROOT.glob("toucanwood/*/tests/test_*.py")
     )
-    return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
+    adapter_paths = sorted(ADAPTER.glob("*/tests/test_*.py"))
+    return [_name(path, ROOT) for path in paths] + [
+        _name(path, ADAPTER) for path in adapter_paths
+    ]
+
+
+def _name(path: pathlib.Path, folder: pathlib.Path) -> str:
+    return ".".join(path.relative_to(folder).with_suffix("").parts)
 
 
 def read_known_red() -> set[str]:
@@ -32,9 +42,11 @@
 
 def run_module(name: str) -> tuple[str, str, int]:
     """Run one module and return its name, output and exit status."""
+    folder = ADAPTER if name.startswith("adapter.") else ROOT
     done = subprocess.run(
         [sys.executable, "-m", "nose2", "-v", name],
-        cwd=ROOT,
+        cwd=folder,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
         capture_output=True,
         text=True,
         timeout=MODULE_TIMEOUT_S,
--- /dev/null
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -0,0 +1,154 @@
+"""The life of a control group: first start, joins, losses, orders, announcements."""
+
+import asyncio
+
+import attrs
+from returns.result import Failure, Success
+
+from toucanwood.controller._group import choose_voter_count
+from toucanwood.controller.tests.world import DOCUMENT, TARGET, play, wait_for
+from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation, TargetState
+
+
+async def start_group(controllers, count=3):
+    numbers = range(1, count + 1)
+    await asyncio.gather(*(controllers.start(number) for number in numbers))
+    await controllers.wait_leader()
+
+
+# Guards against a group that forms from what a process is not told: how many there are.
+def test_later_controllers_join_and_an_odd_number_votes():
+    async def scenario(controllers):
+        await start_group(controllers, 6)
+
+        def has_joined():
+            leader = controllers.find_leader()
+            if leader is None:
+                return False
+            members = controllers.running[leader].replica.members
+            return len(members.by_id) == 6 and len(members.voters) == 5
+
+        await wait_for(has_joined)
+
+    play(scenario)
+
+
+def test_number_of_voters_is_odd():
+    assert [choose_voter_count(n) for n in (1, 2, 3, 4, 6, 9)] == [1, 1, 3, 3, 5, 9]
+
+
+def test_order_to_any_controller_is_committed_and_read_everywhere():
+    async def scenario(controllers):
+        await start_group(controllers)
+        result = await controllers.submit(PutRouting(0, 4, DOCUMENT), at=1)
+        assert result.status is OrderStatus.ACCEPTED
+        for controller in controllers.running.values():
+            await wait_for(lambda c=controller: c.state.revision == 4)
+            await wait_for(lambda c=controller: isinstance(c.read_routing(), Success))
+
+    play(scenario)
+
+
+# Guards against an old configuration that is read at a controller that is cut off.
+def test_controller_without_a_majority_answers_no_read():
+    async def scenario(controllers):
+        await start_group(controllers)
+        await controllers.submit(PutRouting(0, 4, DOCUMENT))
+        await controllers.kill(2)
+        await controllers.kill(3)
+        await wait_for(
+            lambda: isinstance(controllers.running[1].read_routing(), Failure)
+        )
+        result = await controllers.running[1].submit(SetEvacuation("a", True))
+        assert isinstance(result, Failure)
+
+    play(scenario)
+
+
+# Guards against an acknowledged order that a lost disk takes with it.
+def test_order_survives_a_lost_disk_beside_a_restart_of_all():
+    async def scenario(controllers):
+        await start_group(controllers)
+        await controllers.submit(PutRouting(0, 4, DOCUMENT))
+        await controllers.submit(SetEvacuation("a", True))
+        leader = await controllers.wait_leader()
+        for number in (1, 2, 3):
+            await controllers.kill(number)
+        controllers.wipe(leader)
+        for number in (1, 2, 3):
+            await controllers.start(number, founders=())
+        await controllers.wait_leader()
+        for controller in controllers.running.values():
+            await wait_for(lambda c=controller: c.state.revision == 4)
+            assert controller.state.evacuated == {"a"}
+
+    play(scenario)
+
+
+# Guards against an empty disk that founds a group of its own.
+def test_empty_controller_waits_until_the_group_takes_it_in():
+    async def scenario(controllers):
+        alone = await controllers.start(4, founders=(), seeds=(1, 2, 3))
+        await asyncio.sleep(1.5)
+        assert not alone.replica.is_member and controllers.find_leader() is None
+        await start_group(controllers)
+        await controllers.submit(PutRouting(0, 4, DOCUMENT))
+        await wait_for(lambda: alone.state.revision == 4)
+
+    play(scenario)
+
+
+def test_leader_that_stops_hands_over():
+    async def scenario(controllers):
+        await start_group(controllers)
+        await controllers.submit(PutRouting(0, 4, DOCUMENT))
+        leader = await controllers.wait_leader()
+        await controllers.stop(leader)
+        result = await controllers.submit(PutRouting(4, 5, DOCUMENT))
+        assert result.status is OrderStatus.ACCEPTED
+
+    play(scenario)
+
+
+# Guards against an acknowledgement that only one controller knows of.
+def test_acknowledged_farewell_is_known_to_all_controllers():
+    async def scenario(controllers):
+        await start_group(controllers)
+        first = controllers.running[1]
+
+        async def announce(target):
+            for _ in range(100):
+                if isinstance(await first.announce_target(target), Success):
+                    return
+                await asyncio.sleep(0.05)
+            raise AssertionError("the announcement was not taken")
+
+        await announce(TARGET)
+        draining = attrs.evolve(TARGET, sequence=2, state=TargetState.DRAINING)
+        await announce(draining)
+        others = controllers.running.values()
+        await wait_for(lambda: all(c.state.targets["t-1"].is_draining for c in others))
+        assert isinstance(await first.remove_target("t-1", None), Success)
+        await wait_for(lambda: not any(c.state.targets for c in others))
+
+    play(scenario)
+
+
+# Guards against a log entry for each of the many announcements that say nothing new.
+def test_announcement_without_news_commits_nothing():
+    async def scenario(controllers):
+        await start_group(controllers)
+        first = controllers.running[1]
+        await wait_for(lambda: first.replica.leader() is not None)
+        assert isinstance(await first.announce_target(TARGET), Success)
+        await wait_for(lambda: "t-1" in first.state.targets)
+        version = first.state.version
+        for sequence in range(2, 6):
+            target = attrs.evolve(TARGET, sequence=sequence)
+            assert isinstance(await first.announce_target(target), Success)
+        assert first.state.version == version
+        cold = attrs.evolve(TARGET, sequence=9, cold_left_s=2.0)
+        assert isinstance(await first.announce_target(cold), Success)
+        await wait_for(lambda: first.state.targets["t-1"].cold_left_s == 2.0)
+
+    play(scenario)
--- /dev/null
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -0,0 +1,260 @@
+"""What callers get, and what targets see, when targets misbehave."""
+
+import asyncio
+
+from toucanwood.gateway.tests.world import (
+    NAMES,
+    FakeTarget,
+    answer,
+    cut,
+    foreign_first,
+    misdirected,
+    play,
+    read_answer,
+    reset_at_once,
+    shed,
+    silent,
+)
+
+
+def test_answer_is_passed_on_whole_with_its_status_and_signature():
+    async def scenario(world):
+        status, headers, body = await world.send("/safe/x")
+        assert (status, body) == (200, b"whole")
+        assert headers[NAMES.signature] == "s"
+
+    play(scenario, FakeTarget("t-1"))
+
+
+# Guards against a key or a false organisation that reaches a target.
+def test_target_gets_the_organisation_and_never_the_key():
+    async def scenario(world):
+        await world.send("/safe/x?q=1", **{NAMES.organisation: "other"})
+        (seen,) = world.seen
+        assert seen.line == "GET /safe/x?q=1 HTTP/1.1"
+        assert seen.headers[NAMES.organisation] == "org"
+        assert "Authorization" not in seen.headers
+        assert seen.headers[NAMES.target_id] == "t-1"
+        assert 0 < int(seen.headers[NAMES.remaining_ms]) <= 1500
+
+    play(scenario, FakeTarget("t-1"))
+
+
+def test_deadline_is_that_of_the_route_where_it_is_shorter():
+    async def scenario(world):
+        await world.send("/short/x")
+        assert int(world.seen[0].headers[NAMES.remaining_ms]) <= 300
+
+    play(scenario, FakeTarget("t-1"))
+
+
+def test_request_that_a_target_did_not_run_goes_to_another_one():
+    async def scenario(world):
+        status, _, _ = await world.send("/unsafe/x", method="POST", body=b"order")
+        assert status == 200
+        assert [item.body for item in world.seen] == [b"order", b"order"]
+
+    play(scenario, FakeTarget("t-1", shed()), FakeTarget("t-2"))
+
+
+# Guards against a refusal that says "not run" of a request that has run.
+def test_unsafe_request_whose_answer_is_lost_runs_once_and_promises_nothing():
+    async def scenario(world):
+        status, headers, _ = await world.send("/unsafe/x", method="POST", body=b"o")
+        assert status == 502
+        assert headers["Toucanwood-Verdict"] == "may-have-run"
+        assert len(world.seen) == 1
+
+    play(scenario, FakeTarget("t-1", reset_at_once()), FakeTarget("t-2"))
+
+
+def test_safe_request_whose_answer_is_lost_is_sent_again():
+    async def scenario(world):
+        lost = [target for target in world.targets if target.script]
+        statuses = [(await world.send("/safe/x"))[0] for _ in range(6)]
+        assert statuses == [200] * 6
+        assert not any(target.script for target in lost)
+
+    play(scenario, FakeTarget("t-1", reset_at_once()), FakeTarget("t-2"))
+
+
+def test_request_goes_to_as_many_targets_as_the_route_allows():
+    async def scenario(world):
+        status, headers, _ = await world.send("/safe/x")
+        assert status == 503 and "Retry-After" in headers
+        assert len(world.seen) == 2
+
+    play(scenario, *[FakeTarget(f"t-{n}", shed(), shed()) for n in range(4)])
+
+
+# Guards against a late or second answer that is taken for the next request's.
+def test_answer_to_another_request_is_skipped():
+    async def scenario(world):
+        assert (await world.send("/safe/x"))[2] == b"own"
+        assert (await world.send("/safe/y"))[2] == b"whole"
+        assert len(world.targets[0].seen) == 2
+
+    play(scenario, FakeTarget("t-1", foreign_first(b"own")))
+
+
+def test_success_without_a_signature_is_not_passed_on():
+    async def scenario(world):
+        status, _, _ = await world.send("/unsafe/x", method="POST")
+        assert status == 502
+
+    play(scenario, FakeTarget("t-1", answer(signed=False)), FakeTarget("t-2"))
+
+
+def test_unasked_encoding_is_not_passed_on():
+    async def scenario(world):
+        status, _, _ = await world.send("/unsafe/x", method="POST")
+        assert status == 502
+
+    encoded = answer(headers=["Content-Encoding: gzip"])
+    play(scenario, FakeTarget("t-1", encoded))
+
+
+def test_truncated_answer_is_asked_for_again_where_that_is_allowed():
+    async def scenario(world):
+        assert (await world.send("/safe/x"))[2] == b"whole"
+        assert len(world.seen) == 2
+        for target in world.targets:
+            target.script.append(part)
+        status, _, _ = await world.send("/unsafe/x", method="POST")
+        assert status == 502
+        assert len(world.seen) == 3
+
+    part = answer(body=b"part", length=100, keep=False)
+    play(scenario, FakeTarget("t-1", part), FakeTarget("t-2"))
+
+
+def test_body_without_a_length_that_ends_with_a_close_is_complete():
+    async def scenario(world):
+        assert (await world.send("/unsafe/x", method="POST"))[2] == b"all of it"
+
+    play(scenario, FakeTarget("t-1", cut(b"all of it")))
+
+
+# Guards against a reset that looks like the end of a body without a length.
+def test_body_without_a_length_that_ends_with_a_reset_is_not_complete():
+    async def scenario(world):
+        status, _, body = await world.send("/unsafe/x", method="POST")
+        assert status == 502 and b"part" not in body
+
+    play(scenario, FakeTarget("t-1", cut(b"part", reset=True)))
+
+
+def test_target_that_has_lost_its_address_is_left_alone():
+    async def scenario(world):
+        statuses = [(await world.send("/safe/x"))[0] for _ in range(5)]
+        assert statuses == [200] * 5
+        assert len(world.targets[0].seen) + len(world.targets[1].seen) <= 7
+
+    play(scenario, FakeTarget("t-1", misdirected()), FakeTarget("t-2"))
+
+
+def test_target_that_nobody_listens_at_is_replaced_by_another():
+    async def scenario(world):
+        world.targets[0].server.close()
+        await world.targets[0].server.wait_closed()
+        for _ in range(4):
+            status, _, _ = await world.send("/unsafe/x", method="POST")
+            assert status == 200
+
+    play(scenario, FakeTarget("t-1"), FakeTarget("t-2"))
+
+
+def test_request_ends_at_the_time_of_its_route():
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        status, headers, _ = await world.send("/short/x")
+        assert status == 504 and "Retry-After" not in headers
+        assert 0.25 < loop.time() - started < 0.8
+
+    play(scenario, FakeTarget("t-1", silent()))
+
+
+# Guards against work that goes on for a caller who has left.
+def test_request_at_a_target_is_cut_when_its_caller_leaves():
+    async def scenario(world):
+        _, writer = await world.connect()
+        writer.write(world.build_request("/safe/x"))
+        await asyncio.sleep(0.1)
+        assert len(world.seen) == 1
+        writer.close()
+        await asyncio.sleep(0.2)
+        records = world.gateway.dispatcher.list_records()
+        assert [record.in_flight for record in records] == [0]
+
+    play(scenario, FakeTarget("t-1", silent(0.5)))
+
+
+def test_failure_of_a_target_is_passed_on_for_an_unsafe_request():
+    async def scenario(world):
+        status, headers, _ = await world.send("/unsafe/x", method="POST")
+        assert status == 500 and headers[NAMES.signature] == "s"
+
+    play(scenario, FakeTarget("t-1", answer(500)), FakeTarget("t-2", answer(500)))
+
+
+def test_unknown_key_unknown_route_and_open_route():
+    async def scenario(world):
+        assert (await world.send("/safe/x", key="wrong"))[0] == 401
+        assert (await world.send("/safe/x", key=None))[0] == 401
+        assert (await world.send("/none/x"))[0] == 404
+        assert (await world.send("/open/x", key=None))[0] == 200
+        assert len(world.seen) == 1
+
+    play(scenario, FakeTarget("t-1"))
+
+
+def test_request_of_a_region_stays_there():
+    async def scenario(world):
+        for _ in range(3):
+            assert (await world.send("/home/x"))[0] == 200
+        assert not world.targets[0].seen
+
+    targets = [FakeTarget("t-1"), FakeTarget("t-2")]
+    play(scenario, *targets, data_centres=["a", "b"])
+
+
+def test_entry_without_a_routing_table_refuses_as_not_run():
+    async def scenario(world):
+        world.gateway.view.table = None
+        status, headers, _ = await world.send("/none/x")
+        assert status == 503 and headers["Toucanwood-Verdict"] == "not-run"
+        assert not world.gateway.is_ready()
+
+    play(scenario, FakeTarget("t-1"))
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def scenario(world):
+        reader, writer = await world.connect()
+        for number in range(3):
+            writer.write(world.build_request(f"/safe/{number}"))
+        statuses = [(await read_answer(reader))[0] for _ in range(3)]
+        assert statuses == [200] * 3
+        writer.close()
+
+    play(scenario, FakeTarget("t-1"))
+
+
+# Guards against a stop that cuts requests.
+def test_stop_finishes_running_requests_and_refuses_new_ones_as_not_run():
+    async def scenario(world):
+        running = asyncio.create_task(world.send("/unsafe/x", method="POST"))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(world.gateway.stop())
+        await asyncio.sleep(0.05)
+        assert not world.gateway.is_ready()
+        assert (await world.send("/safe/x"))[0] == 200
+        assert (await running)[0] == 200
+        await stopping
+
+    async def slow(writer, request):
+        await asyncio.sleep(0.5)
+        return await answer()(writer, request)
+
+    play(scenario, FakeTarget("t-1", slow), stop_grace_s=2.0)
--- /dev/null
+++ b/toucanwood/gateway/tests/world.py
@@ -0,0 +1,303 @@
+"""A gateway with scripted targets on loopback, and a caller."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import attrs
+
+from toucanwood.fleet import Target, TargetState
+from toucanwood.gateway import GatewayInstance, GatewaySettings, HeaderNames
+
+NAMES = HeaderNames(signature="Toucanwood-Signature")
+ROUTES = {
+    "/safe/": {"kind": "safe"},
+    "/unsafe/": {"kind": "unsafe"},
+    "/open/": {"kind": "safe", "open": True},
+    "/short/": {"kind": "safe", "timeout_ms": 300},
+    "/home/": {"kind": "safe", "regions": ["south"]},
+}
+KEY = "secret-key"
+
+
+@attrs.define
+class Seen:
+    """Hold one request as a target got it."""
+
+    line: str
+    headers: dict
+    body: bytes
+
+
+class FakeTarget:
+    """Answer each request by the next step of a script, then by 200."""
+
+    def __init__(self, name, *script):
+        self.name = name
+        self.script = list(script)
+        self.seen = []
+        self.closed = 0
+        self.tasks = set()
+        self.address = ""
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def _accept(self, reader, writer):
+        # A cancelled handler that asyncio owns is logged as an error by Python 3.11.
+        task = asyncio.get_running_loop().create_task(self._serve(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                line, *rest = head.strip().split("\r\n")
+                headers = dict(item.split(": ", 1) for item in rest)
+                size = int(headers.get("Content-Length", 0))
+                body = await reader.readexactly(size)
+                self.seen.append(Seen(line, headers, body))
+                step = self.script.pop(0) if self.script else answer()
+                if not await step(writer, headers):
+                    break
+        self.closed += 1
+        writer.close()
+
+    def describe(self, data_centre="a"):
+        return Target(
+            id=self.name,
+            born_ms=1,
+            sequence=1,
+            service="s",
+            address=self.address,
+            data_centre=data_centre,
+            software="",
+            slots=4,
+            state=TargetState.READY,
+            cold_left_s=0.0,
+        )
+
+
+def encode(status, headers, body, *, request_id, signed=True, length=None):
+    lines = [f"HTTP/1.1 {status} X", f"{NAMES.request_id}: {request_id}"]
+    if signed:
+        lines.append(f"{NAMES.signature}: s")
+    lines += headers
+    if length is not False:
+        lines.append(f"Content-Length: {len(body) if length is None else length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def answer(
+    status=200, body=b"whole", headers=(), *, signed=True, length=None, keep=True
+):
+    async def step(writer, request):
+        request_id = request.get(NAMES.request_id, "")
+        writer.write(
+            encode(
+                status,
+                list(headers),
+                body,
+                request_id=request_id,
+                signed=signed,
+                length=length,
+            )
+        )
+        await writer.drain()
+        return keep
+
+    return step
+
+
+def shed():
+    return answer(503, b"", [f"{NAMES.not_run}: 1"], signed=False)
+
+
+def misdirected():
+    return answer(421, b"", signed=False)
+
+
+def foreign_first(body=b"whole"):
+    async def step(writer, request):
+        own = request[NAMES.request_id]
+        writer.write(encode(200, [], b"foreign", request_id="another"))
+        writer.write(encode(200, [], body, request_id=own))
+        await writer.drain()
+        return True
+
+    return step
+
+
+def cut(body=b"part", *, reset=False):
+    """Answer without a length, then close or reset the connection."""
+
+    async def step(writer, request):
+        own = request[NAMES.request_id]
+        writer.write(encode(200, [], body, request_id=own, length=False))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if reset:
+            _reset(writer)
+        return False
+
+    return step
+
+
+def reset_at_once():
+    async def step(writer, request):
+        _reset(writer)
+        return False
+
+    return step
+
+
+def silent(seconds=30.0):
+    async def step(writer, request):
+        await asyncio.sleep(seconds)
+        return False
+
+    return step
+
+
+def _reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def build_document():
+    routes = [
+        {
+            "name": prefix.strip("/"),
+            "host": "shop",
+            "prefix": prefix,
+            "service": "s",
+            "timeout_ms": 2000,
+            "objective_ms": 1000,
+            "max_attempts": 2,
+            **rules,
+        }
+        for prefix, rules in ROUTES.items()
+    ]
+    organisation = {"name": "org", "keys": [KEY], "rate": 100, "burst": 100}
+    return {
+        "revision": 1,
+        "routes": routes,
+        "services": [{"name": "s"}],
+        "organisations": [organisation],
+    }
+
+
+def build_settings(**changed):
+    settings = {
+        "id": "127.0.0.1",
+        "data_centre": "a",
+        "region": "north",
+        "listen": "127.0.0.1:0",
+        "ready": "127.0.0.1:0",
+        "peer": "127.0.0.1:0",
+        "peer_port": 1,
+        "controllers": ["127.0.0.9"],
+        "region_by_data_centre": {"a": "north", "b": "south"},
+        "link_bytes_per_s": 125e6,
+        "stop_grace_s": 1.0,
+        "retry_slack": 10.0,
+    }
+    return GatewaySettings.from_config({**settings, **changed})
+
+
+class World:
+    """Hold the gateway and its targets."""
+
+    def __init__(self, gateway, targets):
+        self.gateway = gateway
+        self.targets = targets
+        self._next_id = 0
+
+    @property
+    def seen(self):
+        return [item for target in self.targets for item in target.seen]
+
+    async def connect(self):
+        host, _, port = self.gateway.server.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    def build_request(self, path, *, method="GET", key=KEY, body=b"", **headers):
+        self._next_id += 1
+        given = {
+            "Host": "shop",
+            NAMES.request_id: f"id-{self._next_id}",
+            NAMES.remaining_ms: "1500",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key:
+            given["Authorization"] = f"Bearer {key}"
+        if body:
+            given["Content-Length"] = str(len(body))
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in given.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    async def send(self, path, **options):
+        """Return status, headers and body; the body is None if it was cut."""
+        reader, writer = await self.connect()
+        writer.write(self.build_request(path, **options))
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rest = head.strip().split("\r\n")
+    headers = dict(item.split(": ", 1) for item in rest)
+    try:
+        body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        body = None
+    return int(line.split()[1]), headers, body
+
+
+@contextlib.asynccontextmanager
+async def run_world(*targets, data_centres=None, **changed):
+    for target in targets:
+        await target.start()
+    gateway = GatewayInstance(build_settings(**changed), NAMES)
+    gateway.network.start = _skip
+    await gateway.start()
+    places = data_centres or ["a"] * len(targets)
+    described = [
+        target.describe(place).to_wire()
+        for target, place in zip(targets, places, strict=True)
+    ]
+    gateway.view.replace(1, [1, build_document(), [], described])
+    gateway.dispatcher.update(gateway.view, frozenset({gateway.settings.id}))
+    try:
+        yield World(gateway, targets)
+    finally:
+        await gateway.server.stop()
+        await gateway.ready_server.stop()
+        await gateway.prober.stop()
+        await gateway.feed.stop()
+        await gateway.network.stop()
+        for target in targets:
+            target.server.close()
+
+
+async def _skip():
+    return None
+
+
+def play(scenario, *targets, **options):
+    """Run a scenario with a world around it."""
+
+    async def main():
+        async with run_world(*targets, **options) as world:
+            await scenario(world)
+
+    asyncio.run(main())
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -27,6 +27,11 @@
         """Listen on `ip:port`; raise OSError when that is not possible."""
         self._listener = Listener(address, self._build_connection)
 
+    @property
+    def address(self) -> str:
+        """Return the address that is bound, as `ip:port`."""
+        return self._listener.address if self._listener is not None else ""
+
     def leave(self) -> None:
         """Make each next answer the last one of its connection."""
         self._is_stopping = True
--- /dev/null
+++ b/toucanwood/httpd/tests/test_server.py
@@ -0,0 +1,225 @@
+import asyncio
+import contextlib
+
+from toucanwood.httpd import Answer, BodyTooLarge, HttpServer
+from toucanwood.routing import CallerLimits
+
+ADDRESS = "127.0.0.1"
+
+
+@contextlib.asynccontextmanager
+async def run_server(handle, **limits):
+    server = HttpServer(handle, limits=lambda: CallerLimits(**limits))
+    server.start(f"{ADDRESS}:0")
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+async def connect(server):
+    host, _, port = server.address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def build_request(path, extra="", method="GET"):
+    return f"{method} {path} HTTP/1.1\r\nHost: a\r\n{extra}\r\n".encode()
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    status = int(head.split()[1])
+    length = 0
+    for line in head.split("\r\n"):
+        name, _, value = line.partition(":")
+        if name.lower() == "content-length":
+            length = int(value)
+    return status, await reader.readexactly(length), head
+
+
+# Guards against pipelined requests that wait for the one before them to run.
+def test_pipelined_requests_run_side_by_side_and_are_answered_in_order():
+    started = []
+
+    async def handle(turn):
+        started.append(turn.request.path)
+        await asyncio.sleep(0.2 if turn.request.path == "/slow" else 0.0)
+        await turn.send(Answer(200, body=turn.request.path.encode()))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/slow") + build_request("/fast"))
+            await asyncio.sleep(0.05)
+            assert started == ["/slow", "/fast"]
+            bodies = [(await read_answer(reader))[1] for _ in range(2)]
+            assert bodies == [b"/slow", b"/fast"]
+            writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against work that goes on for a caller who has left.
+def test_requests_of_a_caller_that_leaves_are_cancelled():
+    cancelled = []
+
+    async def handle(turn):
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.append(turn.request.path)
+            raise
+
+    async def main():
+        async with run_server(handle) as server:
+            _, writer = await connect(server)
+            writer.write(build_request("/a") + build_request("/b"))
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert sorted(cancelled) == ["/a", "/b"]
+
+    asyncio.run(main())
+
+
+def test_body_in_chunks_is_read_in_full_and_a_long_one_is_refused():
+    async def handle(turn):
+        try:
+            body = await turn.request.read_body(8)
+        except BodyTooLarge:
+            await turn.send(Answer(413))
+            return
+        await turn.send(Answer(200, body=body))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            chunked = build_request("/", "Transfer-Encoding: chunked\r\n", "POST")
+            writer.write(chunked + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            assert (await read_answer(reader))[:2] == (200, b"abcde")
+            writer.write(build_request("/", "Content-Length: 9\r\n", "POST"))
+            writer.write(b"123456789")
+            assert (await read_answer(reader))[0] == 413
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_malformed_head_gets_one_clear_answer_and_the_connection_ends():
+    async def handle(turn):
+        await turn.send(Answer(200))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(b"NOT HTTP\r\n\r\n")
+            status, _, head = await read_answer(reader)
+            assert status == 400 and "Connection: close" in head
+            assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_head_that_does_not_end_in_time_is_refused():
+    async def handle(turn):
+        await turn.send(Answer(200))
+
+    async def main():
+        async with run_server(handle, header_timeout_s=0.05) as server:
+            reader, writer = await connect(server)
+            writer.write(b"GET / HTTP/1.1\r\nHost:")
+            assert (await read_answer(reader))[0] == 408
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_head_over_the_limit_is_refused():
+    async def handle(turn):
+        await turn.send(Answer(200))
+
+    async def main():
+        async with run_server(handle, header_bytes=1000) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/", f"X: {'a' * 2000}\r\n"))
+            assert (await read_answer(reader))[0] == 431
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_idle_connection_is_closed_after_its_time_and_not_before():
+    async def handle(turn):
+        await turn.send(Answer(200))
+
+    async def main():
+        async with run_server(handle, idle_timeout_s=0.3) as server:
+            reader, writer = await connect(server)
+            await asyncio.sleep(0.24)
+            writer.write(build_request("/"))
+            assert (await read_answer(reader))[0] == 200
+            await asyncio.sleep(0.24)
+            writer.write(build_request("/"))
+            assert (await read_answer(reader))[0] == 200
+            assert await asyncio.wait_for(reader.read(), 2.0) == b""
+            writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against a stop that cuts a request or leaves callers on a dying instance.
+def test_leaving_server_answers_and_then_ends_each_connection():
+    async def handle(turn):
+        await asyncio.sleep(0.1)
+        await turn.send(Answer(200, body=b"x"))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/"))
+            await asyncio.sleep(0.02)
+            server.leave()
+            status, body, head = await read_answer(reader)
+            assert (status, body) == (200, b"x") and "Connection: close" in head
+            assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against a truncated answer that looks complete.
+def test_streamed_answer_that_is_aborted_does_not_look_complete():
+    async def handle(turn):
+        await turn.start(200, "OK", [], None)
+        await turn.write(b"part")
+        turn.abort()
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/"))
+            data = b""
+            with contextlib.suppress(ConnectionResetError):
+                data = await reader.read()
+            assert not data.endswith(b"0\r\n\r\n")
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_answer_to_head_has_the_length_and_no_body():
+    async def handle(turn):
+        await turn.send(Answer(200, body=b"abc", declared_length="3"))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/", method="HEAD"))
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            assert "Content-Length: 3" in head
+            writer.write(build_request("/", method="HEAD"))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    asyncio.run(main())
--- a/toucanwood/peering/_network.py
+++ b/toucanwood/peering/_network.py
@@ -167,7 +167,14 @@
             if self._dialed.get(connection.peer_id) is connection:
                 del self._dialed[connection.peer_id]
 
-    async def _accept(
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # Python 3.11 logs an error when it owns this task and the task is cancelled.
+        main = self._serve_accepted(reader, writer)
+        self._tasks.start(main, name="accept-peer")
+
+    async def _serve_accepted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
--- a/toucanwood/peering/tests/test_network.py
+++ b/toucanwood/peering/tests/test_network.py
@@ -113,3 +113,23 @@
     assert decode_message([1, "x", "field of a newer version"]) == Echo("x")
     assert decode_message([1]) == Echo("")
     assert decode_message([9999, "unknown kind"]) is None
+
+
+# Guards against a library error in the log when an instance stops during a handshake.
+def test_stop_during_a_handshake_logs_no_error():
+    errors = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        network = PeerNetwork(instance_id="a", address="127.0.0.1:0", secret=b"s")
+        await network.start()
+        host, port = network._server.sockets[0].getsockname()
+        _, writer = await asyncio.open_connection(host, port)
+        await asyncio.sleep(0.05)
+        await network.stop()
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    asyncio.run(main())
+    assert errors == []
--- /dev/null
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -0,0 +1,282 @@
+import attrs
+
+from toucanwood.fleet import Target, TargetState
+from toucanwood.placement import (
+    ColdStartGate,
+    Health,
+    LoadReport,
+    Need,
+    Outcome,
+    Placed,
+    Refused,
+    RegionShare,
+    RetryBudget,
+    Selection,
+    ServicePool,
+    TargetRecord,
+    Waiting,
+)
+from toucanwood.placement._cold import MAX_SENDERS, rank_senders
+
+TARGET = Target(
+    id="t-0",
+    born_ms=1,
+    sequence=1,
+    service="s",
+    address="127.0.0.1:80",
+    data_centre="a",
+    software="",
+    slots=4,
+    state=TargetState.READY,
+    cold_left_s=0.0,
+)
+ENTRIES = frozenset(f"e-{number}" for number in range(8))
+
+
+def build_pool(count=3, **selection):
+    pool = ServicePool("s", Selection(entry_id="e-0", entries=ENTRIES, **selection))
+    for number in range(count):
+        target = attrs.evolve(TARGET, id=f"t-{number}")
+        pool.records[target.id] = TargetRecord(target, "north", 0.001)
+    pool.selection.ranks.set_targets(dict.fromkeys(pool.records, 1.0))
+    return pool
+
+
+def build_need(now=0.0, **changed):
+    need = Need(
+        service="s",
+        rank=(1, 1),
+        arrived_at=now,
+        objective_at=now + 0.4,
+        deadline_at=now + 1.0,
+        kind="r",
+    )
+    return attrs.evolve(need, **changed)
+
+
+def start(pool, need, now=0.0):
+    placed = pool.place(need, now)
+    assert isinstance(placed, Placed)
+    pool.start(placed.record, need, now)
+    return placed
+
+
+def finish(pool, placed, need, now, outcome=Outcome.OK, seconds=0.1, report=None):
+    return pool.finish(
+        placed.record,
+        need,
+        outcome,
+        seconds=seconds,
+        warm_chance=placed.choice.warm_chance,
+        report=report,
+        now=now,
+    )
+
+
+def fill(pool, now=0.0):
+    for record in pool.records.values():
+        record.record_load(LoadReport(record.target.slots, 4, 4), now)
+
+
+# Guards against objects that every target has to learn.
+def test_requests_for_one_object_go_to_the_same_target():
+    pool = build_pool(6)
+    need = build_need(object_key="o-1")
+    targets = set()
+    for number in range(12):
+        now = float(number)
+        placed = start(pool, attrs.evolve(need, objective_at=now + 0.4), now)
+        targets.add(placed.record.id)
+        finish(pool, placed, need, now + 0.1)
+    assert len(targets) == 1
+
+
+def test_two_entries_prefer_the_same_target_for_an_object():
+    first, second = build_pool(6), build_pool(6)
+    for number in range(20):
+        need = build_need(object_key=f"o-{number}")
+        assert start(first, need).record.id == start(second, need).record.id
+
+
+# Guards against targets that stay unused because they last reported a full load.
+def test_load_of_other_entries_fades_when_no_report_comes():
+    pool = build_pool(1)
+    fill(pool)
+    first = pool.place(build_need(), 0.0)
+    assert isinstance(first, Waiting)
+    pool.withdraw(first)
+    later = build_need(2.0)
+    assert isinstance(pool.place(later, 2.0), Placed)
+
+
+# Guards against slow runs that take the slots of requests that are in time.
+def test_late_request_gets_no_slot_while_the_pool_is_busy():
+    pool = build_pool(2)
+    pool.find_times(build_need()).record(0.6, 0.03)
+    pool.find_times(build_need()).record(0.2, 0.95)
+    for record in pool.records.values():
+        record.in_flight = 3
+    slow = build_need(object_key="o", excluded=frozenset({_find_first(pool, "o")}))
+    assert not isinstance(pool.place(slow, 0.0), Placed)
+
+
+def test_late_request_runs_while_slots_are_left_over():
+    pool = build_pool(2)
+    pool.find_times(build_need()).record(0.6, 0.03)
+    pool.find_times(build_need()).record(0.2, 0.95)
+    slow = build_need(object_key="o", excluded=frozenset({_find_first(pool, "o")}))
+    placed = pool.place(slow, 0.0)
+    assert isinstance(placed, Placed) and placed.reason == "late"
+
+
+def _find_first(pool, key):
+    ranks = {item: pool.selection.ranks.find_rank(key, item) for item in pool.records}
+    return min(ranks, key=lambda item: 9 if ranks[item] is None else ranks[item])
+
+
+def test_urgent_request_is_placed_before_one_that_waits_longer():
+    pool = build_pool(1)
+    fill(pool)
+    usual = pool.place(build_need(rank=(2, 2)), 0.0)
+    urgent = pool.place(build_need(rank=(1, 1)), 0.0)
+    assert isinstance(usual, Waiting) and isinstance(urgent, Waiting)
+    pool.records["t-0"].record_load(LoadReport(2, 0, 4), 0.01)
+    done = pool.place_waiting(0.01)
+    assert done[0][0] is urgent
+
+
+def test_waiting_request_is_turned_away_once_it_would_be_late():
+    pool = build_pool(1)
+    fill(pool)
+    waiting = pool.place(build_need(), 0.0)
+    assert isinstance(waiting, Waiting)
+    fill(pool, 0.39)
+    ((item, decision),) = pool.place_waiting(0.39)
+    assert item is waiting and isinstance(decision, Refused)
+    assert pool.count_waiting() == 0
+
+
+def test_request_without_any_target_is_refused_at_once():
+    pool = build_pool(1)
+    pool.records["t-0"].health.eject(0.0)
+    decision = pool.place(build_need(), 0.0)
+    assert isinstance(decision, Refused) and decision.reason == "no_target"
+
+
+def test_request_stays_in_its_regions():
+    pool = build_pool(1)
+    south = TargetRecord(attrs.evolve(TARGET, id="t-s"), "south", 0.012)
+    pool.records["t-s"] = south
+    placed = pool.place(build_need(regions=frozenset({"south"})), 0.0)
+    assert placed.record is south
+
+
+def test_evacuated_draining_and_excluded_targets_get_nothing():
+    pool = build_pool(3, evacuated=frozenset({"b"}))
+    drain = pool.records["t-0"]
+    drain.target = attrs.evolve(drain.target, state=TargetState.DRAINING)
+    away = pool.records["t-1"]
+    away.target = attrs.evolve(away.target, data_centre="b")
+    need = build_need(excluded=frozenset({"t-2"}))
+    assert isinstance(pool.place(need, 0.0), Refused)
+
+
+# Guards against a cold target that crashes under the requests of all entries.
+def test_cold_target_gets_its_rate_over_all_entries():
+    rate, slack, over = 7.8, 5, 1.5
+    pools = [build_pool(1, cold_rate=rate) for _ in ENTRIES]
+    sent = []
+    for entry, pool in zip(sorted(ENTRIES), pools, strict=True):
+        pool.selection.entry_id = entry
+        pool.records["t-0"].cold_until = 10.0
+    for tick in range(300):
+        now = tick * 0.01
+        for pool in pools:
+            need = build_need(now)
+            placed = pool.place(need, now)
+            if isinstance(placed, Placed):
+                pool.start(placed.record, need, now)
+                finish(pool, placed, need, now)
+                sent.append(now)
+            elif isinstance(placed, Waiting):
+                pool.withdraw(placed)
+    most = max(sum(at <= other < at + 1.0 for other in sent) for at in sent)
+    assert most <= rate * over + slack
+    assert len(sent) >= rate * 2
+
+
+def test_few_entries_send_to_a_cold_target_of_a_large_fleet():
+    entries = [f"e-{number}" for number in range(900)]
+    assert len(rank_senders("t-0", entries)) == MAX_SENDERS
+
+
+def test_cold_gate_spaces_requests():
+    gate = ColdStartGate(2.0)
+    assert gate.is_open(0.0)
+    gate.take(0.0)
+    assert not gate.is_open(0.49) and gate.is_open(0.5)
+
+
+def test_unreachable_target_is_left_alone_until_a_probe_succeeds():
+    health = Health()
+    assert health.record(Outcome.UNREACHABLE, 0.0)
+    assert health.is_ejected and health.probe_at > 0.0
+    health.record_probe(is_healthy=False, now=1.0)
+    assert health.is_ejected and health.probe_at > 1.0
+    health.record_probe(is_healthy=True, now=2.0)
+    assert not health.is_ejected
+
+
+def test_target_that_breaks_off_is_left_alone_after_a_few_requests():
+    health = Health()
+    ejected = [health.record(Outcome.BROKEN, 0.0) for _ in range(3)]
+    assert ejected == [False, False, True]
+
+
+def test_caller_that_leaves_says_nothing_about_the_target():
+    health = Health()
+    for _ in range(20):
+        health.record(Outcome.CANCELLED, 0.0)
+    assert not health.is_ejected and health.success_rate == 1.0
+
+
+def test_grey_target_gets_fewer_requests_than_sound_ones():
+    pool = build_pool(4)
+    counts = dict.fromkeys(pool.records, 0)
+    for number in range(200):
+        now = number * 0.05
+        need = build_need(now)
+        placed = start(pool, need, now)
+        counts[placed.record.id] += 1
+        is_grey = placed.record.id == "t-0" and number % 2
+        outcome = Outcome.SHED if is_grey else Outcome.OK
+        finish(pool, placed, need, now + 0.04, outcome)
+    assert counts["t-0"] < 0.5 * max(counts.values())
+
+
+def test_repeats_stay_within_the_budget_of_any_window():
+    budget = RetryBudget(fraction=0.1, slack=5, window_s=10.0)
+    repeats = []
+    for tick in range(3000):
+        now = tick * 0.01
+        budget.add_request(now)
+        if budget.take(now):
+            repeats.append(now)
+    for at in repeats:
+        count = sum(at <= other < at + 10.0 for other in repeats)
+        assert count <= 0.1 * 1000 + 5 + 1
+
+
+# Guards against a region that suddenly gets the requests of another one.
+def test_part_of_a_region_grows_by_the_cap_at_most_between_windows():
+    share = RegionShare(0.1, 2.0)
+    for tick in range(400):
+        now = tick * 0.01
+        share.add("north", now)
+    moved = 0
+    for tick in range(400, 600):
+        now = tick * 0.01
+        region = "north" if "south" in share.list_full(now) else "south"
+        moved += region == "south"
+        share.add(region, now)
+    assert moved <= 0.12 * 200
--- a/toucanwood/quota/_gate.py
+++ b/toucanwood/quota/_gate.py
@@ -7,8 +7,11 @@
 
 from toucanwood.routing import Organisation
 
-# Without an answer of the leader for this time, an entry admits no more than before.
-STALE_S = 1.5
+# Without an answer of the leader for this time, three reports, an entry admits no more
+# than before. Until then it may admit too much of an organisation whose demand rises.
+STALE_S = 0.75
+# Requests that may come at once without a leader, as the time in which they are earned.
+LOCAL_BURST_S = 0.5
 # Weight of the last interval in the remembered rate of admission.
 USE_WEIGHT = 0.3
 
@@ -30,7 +33,7 @@
     credit: float = 0.5
     # Requests a second that were admitted while the leader answered.
     use_rate: float = 0.0
-    tokens: float = 1.0
+    tokens: float = 0.0
     filled_at: float = 0.0
     usage: Usage = attrs.field(factory=Usage)
 
@@ -53,10 +56,17 @@
         """Count a request and return whether it is within the limit."""
         if organisation.rate <= 0:
             return True
-        share = self._shares.setdefault(organisation.name, _Share(filled_at=now))
+        share = self._shares.get(organisation.name)
+        if share is None:
+            # A new entry has earned its local burst, even if no leader answers yet.
+            share = self._shares[organisation.name] = _Share(
+                filled_at=now - LOCAL_BURST_S
+            )
         share.usage.offered += 1
         if now - self._answered_at > STALE_S:
             return self._take_token(share, organisation, now)
+        share.filled_at = now
+        share.tokens = 0.0
         if share.fraction >= 1.0:
             return True
         share.credit += share.fraction
@@ -115,8 +125,7 @@
         even = organisation.rate / max(self.entry_count, 1)
         rate = max(share.use_rate, even)
         earned = max(now - share.filled_at, 0.0) * rate
-        # One second's worth of requests may come at once.
-        share.tokens = min(share.tokens + earned, max(rate, 1.0))
+        share.tokens = min(share.tokens + earned, max(rate * LOCAL_BURST_S, 1.0))
         share.filled_at = now
         if share.tokens < 1.0:
             return False
--- /dev/null
+++ b/toucanwood/quota/tests/test_quota.py
@@ -0,0 +1,109 @@
+import random
+
+from toucanwood.quota import QuotaAccounts, QuotaGate
+from toucanwood.routing import Organisation
+
+ENTRIES = 8
+REPORT_S = 0.25
+WINDOW_S = 5.0
+
+
+def build_organisation(rate):
+    return Organisation(
+        name="a", keys=("k",), priority=None, rate=rate, burst=rate, regions=frozenset()
+    )
+
+
+def run(organisation, offer, *, seconds, is_cut=lambda entry, now: False, seed=1):
+    """Return the times of admitted requests and the number of refused ones."""
+    draw = random.Random(seed)
+    gates = [QuotaGate(entry_count=ENTRIES) for _ in range(ENTRIES)]
+    accounts = QuotaAccounts()
+    admitted, refused = [], 0
+    step = 0.01
+    for tick in range(int(seconds / step)):
+        now = tick * step
+        for number, gate in enumerate(gates):
+            expected = offer(now) * step / ENTRIES
+            count = int(expected) + (draw.random() < expected % 1)
+            for _ in range(count):
+                if gate.admit(organisation, now):
+                    gate.count_use(organisation)
+                    admitted.append(now)
+                else:
+                    refused += 1
+            due = tick % int(REPORT_S / step) == number * 3
+            if due and not is_cut(number, now):
+                usage = gate.collect(now)
+                organisations = {organisation.name: organisation}
+                answer = accounts.settle(str(number), usage, organisations, now)
+                gate.apply(answer, now)
+    return admitted, refused
+
+
+def find_largest_window(times):
+    first = 0
+    largest = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - WINDOW_S:
+            first += 1
+        largest = max(largest, last - first + 1)
+    return largest
+
+
+def find_bound(organisation):
+    # The limit, and what the platform's contract allows above it.
+    limit = organisation.rate * WINDOW_S + organisation.burst
+    return limit * 1.1 + 20
+
+
+def test_organisation_that_sends_many_times_its_rate_stays_within_the_limit():
+    for rate in (10, 137, 600):
+        organisation = build_organisation(rate)
+        admitted, _ = run(
+            organisation, lambda now, r=rate: r * (5 if now > 6 else 0.6), seconds=20
+        )
+        assert find_largest_window(admitted) <= find_bound(organisation)
+
+
+def test_organisation_below_its_rate_is_not_refused():
+    organisation = build_organisation(137)
+    _, refused = run(organisation, lambda now: 90, seconds=20)
+    assert refused == 0
+
+
+def test_organisation_over_its_rate_gets_most_of_it():
+    organisation = build_organisation(137)
+    admitted, _ = run(organisation, lambda now: 600, seconds=20)
+    late = [at for at in admitted if at > 10]
+    assert len(late) > 0.85 * 137 * 10
+
+
+def test_entries_without_a_leader_keep_within_the_limit():
+    organisation = build_organisation(137)
+    admitted, _ = run(
+        organisation,
+        lambda now: 600 if now > 8 else 80,
+        seconds=20,
+        is_cut=lambda entry, now: now > 7,
+    )
+    assert find_largest_window(admitted) <= find_bound(organisation)
+
+
+def test_entry_without_a_leader_goes_on_with_its_usual_requests():
+    organisation = build_organisation(137)
+    _, refused = run(
+        organisation, lambda now: 80, seconds=20, is_cut=lambda entry, now: now > 7
+    )
+    assert refused < 0.02 * 80 * 13
+
+
+def test_usage_that_no_leader_took_is_reported_later():
+    organisation = build_organisation(10)
+    gate = QuotaGate()
+    gate.admit(organisation, 0.0)
+    gate.count_use(organisation)
+    taken = gate.collect(0.1)
+    gate.put_back(taken)
+    again = gate.collect(0.2)["a"]
+    assert (again.offered, again.used) == (1, 1)
--- /dev/null
+++ b/toucanwood/routing/tests/test_table.py
@@ -0,0 +1,120 @@
+from toucanwood.routing import (
+    RouteKind,
+    RoutingTable,
+    apply_change,
+    diff_documents,
+    patch_document,
+)
+from toucanwood.utils import ValidationError
+
+
+def build_route(**changed):
+    route = {
+        "name": "r-1",
+        "host": "shop.example",
+        "prefix": "/a/",
+        "kind": "safe",
+        "timeout_ms": 1000,
+        "objective_ms": 250,
+        "priority": 2,
+        "splits": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+        "max_attempts": 2,
+        "open": False,
+        "sticky": True,
+        "regions": [],
+    }
+    return {**route, **changed}
+
+
+def build_document(routes=None, organisations=()):
+    return {
+        "revision": 1,
+        "routes": routes if routes is not None else [build_route()],
+        "services": [{"name": "s"}, {"name": "t", "cold_rate": 7.8}],
+        "organisations": list(organisations),
+        "caller_limits": {"idle_timeout_ms": 15000},
+    }
+
+
+def find_fault(document):
+    try:
+        RoutingTable.from_config(document)
+    except ValidationError as error:
+        return str(error)
+    return ""
+
+
+def test_valid_document_is_read_in_full():
+    table = RoutingTable.from_config(build_document())
+    route = table.match("shop.example", "/a/b")
+    assert route.kind is RouteKind.SAFE and route.is_repeatable
+    assert (route.timeout_s, route.objective_s) == (1.0, 0.25)
+    assert table.caller_limits.idle_timeout_s == 15.0
+
+
+def test_longest_prefix_wins_and_other_hosts_do_not_match():
+    routes = [build_route(), build_route(name="r-2", prefix="/a/b/")]
+    table = RoutingTable.from_config(build_document(routes))
+    assert table.match("shop.example", "/a/b/c").name == "r-2"
+    assert table.match("shop.example", "/a/bc").name == "r-1"
+    assert table.match("other.example", "/a/b/c") is None
+
+
+def test_unknown_service_is_refused():
+    assert "declared service" in find_fault(
+        build_document([build_route(splits=[{"service": "x", "weight": 1}])])
+    )
+
+
+def test_two_routes_at_one_place_are_refused():
+    routes = [build_route(), build_route(name="r-2")]
+    assert "other than those of r-1" in find_fault(build_document(routes))
+
+
+def test_weights_of_zero_in_sum_or_below_zero_are_refused():
+    for weights in ([0, 0], [5, -1]):
+        splits = [
+            {"service": service, "weight": weight}
+            for service, weight in zip("st", weights, strict=True)
+        ]
+        assert find_fault(build_document([build_route(splits=splits)]))
+
+
+def test_objective_a_minute_over_the_timeout_is_refused():
+    assert find_fault(build_document([build_route(objective_ms=61_000)]))
+    assert not find_fault(build_document([build_route(objective_ms=60_999)]))
+
+
+def test_empty_host_is_refused():
+    assert "a host name" in find_fault(build_document([build_route(host="")]))
+
+
+def test_key_of_two_organisations_is_refused():
+    organisations = [{"name": "a", "keys": ["k"]}, {"name": "b", "keys": ["k"]}]
+    assert "each key once" in find_fault(build_document([], organisations))
+
+
+def test_every_fault_is_reported_at_once():
+    fault = find_fault(build_document([build_route(host="", kind="x", prefix=3)]))
+    assert all(name in fault for name in ("host", "kind", "prefix"))
+
+
+def test_patch_replaces_adds_and_removes_named_items():
+    document = build_document()
+    patched = patch_document(
+        document,
+        upsert={"routes": [build_route(priority=7), build_route(name="r-2")]},
+        remove={"services": ["t"]},
+    )
+    assert [item["name"] for item in patched["routes"]] == ["r-1", "r-2"]
+    assert patched["routes"][0]["priority"] == 7
+    assert [item["name"] for item in patched["services"]] == ["s"]
+    assert document["routes"][0]["priority"] == 2
+
+
+def test_difference_applied_to_the_old_document_gives_the_new_one():
+    old = build_document([build_route(), build_route(name="r-2", prefix="/b/")])
+    new = build_document([build_route(name="r-2", prefix="/c/")])
+    new["caller_limits"] = {"idle_timeout_ms": 1000}
+    changed = apply_change(old, diff_documents(old, new).to_wire())
+    assert changed == new
