--- a/toucanwood/gateway/_context.py
+++ b/toucanwood/gateway/_context.py
@@ -9,6 +9,31 @@
 from toucanwood.verdicts import Verdict
 
 
+@attrs.define
+class AttemptNote:
+    """Record one attempt for the log: what was believed, and how it ended."""
+
+    target: str
+    reason: str
+    expected_ms: int
+    warm_chance: float
+    load: float
+    slots: int
+    report_age_ms: int
+    slowness: float
+    outcome: str = ""
+    took_ms: int = 0
+
+    def format(self) -> str:
+        """Return the record as one word."""
+        return (
+            f"{self.target}:{self.reason}:{self.outcome}:{self.took_ms}ms"
+            f":expected={self.expected_ms}ms:warm={self.warm_chance:g}"
+            f":load={self.load:.1f}/{self.slots}:report={self.report_age_ms}ms"
+            f":slow={self.slowness:.1f}"
+        )
+
+
 class Refusal(Exception):
     """End a request with a verdict."""
 
@@ -33,6 +58,7 @@
     caller_deadline_at: float
     deadline_at: float
     revision: int
+    attempts: list["AttemptNote"] = attrs.field(factory=list)
     sends: int = 0
     may_have_run: bool = False
     excluded: set[str] = attrs.field(factory=set)
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -38,11 +38,14 @@
 class Lease:
     """Hold a place at a target until it is released."""
 
-    record: TargetRecord
+    placed: Placed
     need: Need
     started_at: float
-    reason: str
-    warm_chance: float
+
+    @property
+    def record(self) -> TargetRecord:
+        """Return what is known of the target."""
+        return self.placed.record
 
     @property
     def target(self) -> Target:
@@ -108,11 +111,10 @@
         now = asyncio.get_running_loop().time()
         pool = self._find_pool(lease.need.service)
         is_ejected = pool.finish(
-            lease.record,
+            lease.placed,
             lease.need,
             outcome,
             seconds=now - lease.started_at,
-            warm_chance=lease.warm_chance,
             report=report,
             now=now,
         )
@@ -226,8 +228,8 @@
     def _start(
         self, pool: ServicePool, placed: Placed, need: Need, now: float
     ) -> Lease:
-        pool.start(placed.record, need, now)
-        return _build_lease(placed, need, now)
+        number = pool.start(placed, need, now)
+        return Lease(attrs.evolve(placed, number=number), need, now)
 
     def _pump(self, pool: ServicePool, now: float) -> None:
         if not pool.count_waiting():
@@ -237,7 +239,7 @@
             given: Lease | Refused = (
                 decision
                 if isinstance(decision, Refused)
-                else _build_lease(decision, item.need, now)
+                else Lease(decision, item.need, now)
             )
             if future is not None and not future.done():
                 future.set_result(given)
@@ -247,11 +249,10 @@
     def _give_up(self, pool: ServicePool, lease: Lease, now: float) -> None:
         """Return a place that was given to a caller who has left."""
         pool.finish(
-            lease.record,
+            lease.placed,
             lease.need,
             Outcome.CANCELLED,
             seconds=0.0,
-            warm_chance=lease.warm_chance,
             report=None,
             now=now,
         )
@@ -268,7 +269,3 @@
             self._pump(pool, now)
         if any(pool.count_waiting() for pool in self._pools.values()):
             self._arm_timer()
-
-
-def _build_lease(placed: Placed, need: Need, now: float) -> Lease:
-    return Lease(placed.record, need, now, placed.reason, placed.choice.warm_chance)
--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -5,6 +5,7 @@
 from aiohttp.client_exceptions import ClientError
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.upstream import Progress, TargetClient, TargetConnection, TargetError
@@ -13,6 +14,7 @@
 # follow it.
 MAX_FOREIGN_RESPONSES = 3
 CONNECT_TIMEOUT_S = 0.4
+_NO_HEADERS: CIMultiDictProxy[str] = CIMultiDictProxy(CIMultiDict())
 
 
 class ConnectTimeout(TargetError):
@@ -24,8 +26,8 @@
 
     def __init__(self, client: TargetClient, names: HeaderNames) -> None:
         self.progress = Progress()
-        self.message: RawResponseMessage
         self.content: StreamReader
+        self._message: RawResponseMessage | None = None
         self.held = b""
         self.is_whole = False
         self._client = client
@@ -57,7 +59,7 @@
         connection = self._connection
         assert connection is not None
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
-            self.message, self.content = await connection.receive()
+            self._message, self.content = await connection.receive()
             if self._names.read_request_id(self.message.headers) == request_id:
                 await self._hold(hold_bytes)
                 return
@@ -69,7 +71,7 @@
         """Receive a response without regard to its id, as for a health probe."""
         connection = self._connection
         assert connection is not None
-        self.message, self.content = await connection.receive()
+        self._message, self.content = await connection.receive()
         await self._hold(hold_bytes)
         return self.message
 
@@ -83,6 +85,17 @@
             raise TargetError("the response ended with a reset")
         return chunk
 
+    @property
+    def message(self) -> RawResponseMessage:
+        """Return the head of the response that was received."""
+        if self._message is None:
+            raise RuntimeError("no response was received")
+        return self._message
+
+    def get_headers(self) -> CIMultiDictProxy[str]:
+        """Return the headers of the response, none if there is no response."""
+        return self._message.headers if self._message is not None else _NO_HEADERS
+
     def get_length(self) -> str | None:
         """Return the declared length of the body."""
         return self.message.headers.get("Content-Length")
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -7,12 +7,12 @@
 import attrs
 import structlog
 
-from toucanwood.gateway._context import Refusal, RequestContext
+from toucanwood.gateway._context import AttemptNote, Refusal, RequestContext
 from toucanwood.gateway._dispatcher import Dispatcher, Lease
 from toucanwood.gateway._exchange import ConnectTimeout, Exchange
 from toucanwood.gateway._headers import HeaderNames, drop_hop_by_hop
 from toucanwood.httpd import Answer, Turn
-from toucanwood.placement import Need, Outcome, Refused, RetryBudget
+from toucanwood.placement import LoadReport, Need, Outcome, Refused, RetryBudget
 from toucanwood.quota import QuotaGate
 from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
 from toucanwood.verdicts import Verdict, doubt, refuse
@@ -42,6 +42,16 @@
     is_granted: bool = False
 
 
+@attrs.define
+class _End:
+    """Hold how an attempt ended."""
+
+    outcome: Outcome = Outcome.CANCELLED
+    report: LoadReport | None = None
+    is_complete: bool = False
+    is_finished: bool = False
+
+
 class Forwarder:
     """Send a request to targets until one answers, within every limit."""
 
@@ -146,37 +156,41 @@
     ) -> _Retry | None:
         """Send the request once; None means that the caller has its answer."""
         exchange = Exchange(self._client, self._names)
-        outcome = Outcome.CANCELLED
-        report = None
-        is_complete = False
+        context.attempts.append(_describe_attempt(lease))
+        end = _End()
         try:
-            outcome, result = await self._exchange(context, lease, exchange)
-            if hasattr(exchange, "message"):
-                report = self._names.read_load(exchange.message.headers)
+            end.outcome, result = await self._exchange(context, lease, exchange)
+            end.report = self._names.read_load(exchange.get_headers())
             if result is not None:
                 return result
             if exchange.is_whole:
-                exchange.close(is_complete=True)
-                self._release(lease, outcome, report)
-                lease = None  # type: ignore[assignment]
+                # The target is free before a slow caller has read the answer.
+                end.is_complete = True
+                self._finish(context, lease, exchange, end)
                 await turn.send(self._build_answer(exchange))
                 return None
-            outcome = Outcome.CANCELLED
-            outcome = await self._stream(context, exchange, turn)
-            is_complete = outcome is Outcome.OK
+            judged, end.outcome = end.outcome, Outcome.CANCELLED
+            end.is_complete = await self._stream(context, exchange, turn)
+            end.outcome = judged if end.is_complete else Outcome.BROKEN
             return None
-        except TimeoutError:
-            outcome = Outcome.TIMED_OUT
-            raise
         finally:
-            if lease is not None:
-                if outcome is Outcome.CANCELLED and _is_late(context):
-                    outcome = Outcome.TIMED_OUT
-                exchange.close(is_complete=is_complete)
-                self._release(lease, outcome, report)
+            self._finish(context, lease, exchange, end)
 
-    def _release(self, lease: Lease, outcome: Outcome, report: object) -> None:
-        self._dispatcher.release(lease, outcome, report)  # type: ignore[arg-type]
+    def _finish(
+        self, context: RequestContext, lease: Lease, exchange: Exchange, end: "_End"
+    ) -> None:
+        """Give back the connection and the place; only the first call counts."""
+        if end.is_finished:
+            return
+        end.is_finished = True
+        if end.outcome is Outcome.CANCELLED and _is_late(context):
+            end.outcome = Outcome.TIMED_OUT
+        exchange.close(is_complete=end.is_complete)
+        self._dispatcher.release(lease, end.outcome, end.report)
+        note = context.attempts[-1]
+        note.outcome = end.outcome.value
+        now = asyncio.get_running_loop().time()
+        note.took_ms = round((now - lease.started_at) * 1000)
 
     async def _exchange(
         self, context: RequestContext, lease: Lease, exchange: Exchange
@@ -273,7 +287,8 @@
 
     async def _stream(
         self, context: RequestContext, exchange: Exchange, turn: Turn
-    ) -> Outcome:
+    ) -> bool:
+        """Stream a response; return whether the caller got the whole of it."""
         message = exchange.message
         headers = drop_hop_by_hop(message.headers.items())
         await turn.start(message.code, message.reason, headers, exchange.get_length())
@@ -285,9 +300,9 @@
         except TargetError as error:
             context.notes["end"] = f"cut: {error}"
             turn.abort()
-            return Outcome.BROKEN
+            return False
         turn.finish()
-        return Outcome.OK
+        return True
 
     def _settle(self, context: RequestContext, verdict: Verdict) -> Verdict:
         """Return the verdict for the caller, true for all attempts together."""
@@ -303,6 +318,22 @@
         return 0.1
 
 
+def _describe_attempt(lease: Lease) -> AttemptNote:
+    choice = lease.placed.choice
+    record = choice.record
+    now = lease.started_at
+    return AttemptNote(
+        target=record.id,
+        reason=lease.placed.reason,
+        expected_ms=round(choice.expected_s * 1000),
+        warm_chance=choice.warm_chance,
+        load=record.estimate_load(now),
+        slots=record.target.slots,
+        report_age_ms=round(min(record.measure_report_age(now), 1e6) * 1000),
+        slowness=record.measure_slowness(now),
+    )
+
+
 def _is_late(context: RequestContext) -> bool:
     now = asyncio.get_running_loop().time()
     return now >= context.deadline_at
--- a/toucanwood/gateway/_handler.py
+++ b/toucanwood/gateway/_handler.py
@@ -14,6 +14,9 @@
 
 log = structlog.get_logger()
 
+# Of the requests that went well at the first attempt, each of this number is logged.
+SAMPLE_EVERY = 32
+
 
 class RequestHandler:
     """Admit, place and answer each request of a caller."""
@@ -48,13 +51,19 @@
         headers = [(self._names.request_id, request_id)] if request_id else []
         await turn.send(build_failure(verdict, headers))
 
+    def _samples(self) -> bool:
+        """Return whether a request that went well is logged."""
+        return sum(self.counts.values()) % SAMPLE_EVERY == 0
+
     def _record(
         self, turn: Turn, context: RequestContext | None, code: str, now: float
     ) -> None:
         self.counts[code] = self.counts.get(code, 0) + 1
-        if code == "answered" and turn.status < 500:
-            return
         request = turn.request
+        is_failed = code != "answered" or turn.status >= 500
+        is_repeated = context is not None and len(context.attempts) > 1
+        if not (is_failed or is_repeated or self._samples()):
+            return
         details: dict[str, Any] = {}
         if context is not None:
             details = {
@@ -63,10 +72,11 @@
                 "sends": context.sends,
                 "may_have_run": context.may_have_run,
                 "revision": context.revision,
+                "attempts": ",".join(item.format() for item in context.attempts),
                 **context.notes,
             }
         log.info(
-            "request_failed",
+            "request_failed" if is_failed else "request_answered",
             request=self._names.read_request_id(request.headers),
             code=code,
             status=turn.status,
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -30,6 +30,8 @@
 
     choice: Choice
     reason: str
+    # Names the request at its target once it is started.
+    number: int = 0
 
     @property
     def record(self) -> TargetRecord:
@@ -99,8 +101,8 @@
             placed = None if is_full else self._try_place(item.need, now)
             if placed is not None:
                 # The next decision must see this one.
-                self.start(placed.record, item.need, now)
-                done.append((item, placed))
+                number = self.start(placed, item.need, now)
+                done.append((item, attrs.evolve(placed, number=number)))
             elif now >= item.leave_at:
                 done.append((item, self.refuse(item.need, "waited", now)))
             else:
@@ -115,26 +117,30 @@
         if item in self._queue:
             self._queue.remove(item)
 
-    def start(self, record: TargetRecord, need: Need, now: float) -> None:
-        """Count a request that is sent to a target."""
-        record.in_flight += 1
+    def start(self, placed: Placed, need: Need, now: float) -> int:
+        """Count a request that is sent to a target and return its number there."""
+        record = placed.record
+        expected = self.find_times(need).estimate(placed.choice.warm_chance)
+        number = record.start_request(expected, now)
         self.selection.note_sent(record, now)
         if need.object_key is not None:
             record.remember_object(need.object_key)
+        return number
 
     def finish(
         self,
-        record: TargetRecord,
+        placed: Placed,
         need: Need,
         outcome: Outcome,
         *,
         seconds: float,
-        warm_chance: float,
         report: LoadReport | None,
         now: float,
     ) -> bool:
         """Count the end of an attempt; return whether the target is ejected by it."""
-        record.in_flight = max(record.in_flight - 1, 0)
+        record = placed.record
+        warm_chance = placed.choice.warm_chance
+        record.end_request(placed.number)
         if report is not None:
             record.record_load(report, now)
         if outcome is Outcome.OK:
@@ -142,6 +148,10 @@
             record.record_time(seconds, times.estimate(warm_chance))
             times.record(seconds, warm_chance)
             self._completed += 1
+        elif outcome is Outcome.TIMED_OUT:
+            # It takes at least this long.
+            expected = self.find_times(need).estimate(warm_chance)
+            record.record_time(max(seconds, expected), expected)
         elif outcome is Outcome.SHED and report is None:
             # A target that sheds is full, whatever was known of it.
             record.record_load(LoadReport(record.target.slots, 1, 0), now)
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -16,6 +16,9 @@
 SPEED_WEIGHT = 0.1
 MIN_SPEED = 0.5
 MAX_SPEED = 10.0
+# A request may take longer than expected by this many expected times: its object may
+# not be warm although that was likely.
+STALL_TOLERANCE = 3.0
 # The last report of the load counts for this time, then the mean of the reports does.
 REPORT_LIFE_S = 0.3
 # Weight of the last report in that mean.
@@ -50,6 +53,9 @@
     # Coldness that was assumed and not reported; a probe tells the truth.
     is_unproven: bool = False
     speed: float = 1.0
+    # When the requests in flight were sent, and how long each was expected to take.
+    _running: dict[int, tuple[float, float]] = attrs.field(factory=dict)
+    _next_number: int = 0
     health: Health = attrs.field(factory=Health)
     _others: float = 0.0
     _others_mean: float = 0.0
@@ -72,6 +78,10 @@
         self._others_mean += REPORT_WEIGHT * (self._others - self._others_mean)
         self._reported_at = now
 
+    def measure_report_age(self, now: float) -> float:
+        """Return for how many seconds the target has not reported its load."""
+        return now - self._reported_at
+
     def estimate_load(self, now: float) -> float:
         """Return the requests that the target has, those of other entries estimated."""
         age = now - self._reported_at
@@ -79,6 +89,29 @@
         mean = self._others_mean * math.exp(-age / REPORT_FADE_S)
         return self.in_flight + weight * self._others + (1.0 - weight) * mean
 
+    def start_request(self, expected_s: float, now: float) -> int:
+        """Count a request that is sent and return its number."""
+        self.in_flight += 1
+        self._next_number += 1
+        self._running[self._next_number] = (now, expected_s)
+        return self._next_number
+
+    def end_request(self, number: int) -> None:
+        """Count the end of a request."""
+        if self._running.pop(number, None) is not None:
+            self.in_flight -= 1
+
+    def measure_slowness(self, now: float) -> float:
+        """Return the expected time of a request over that of a usual target.
+
+        Requests that run for longer than expected count before they end, so a target
+        that has stopped or become slow is avoided within a few service times.
+        """
+        slowness = self.speed
+        for started, expected in self._running.values():
+            slowness = max(slowness, (now - started) / expected - STALL_TOLERANCE)
+        return slowness
+
     def record_time(self, seconds: float, expected_s: float) -> None:
         """Count the time of one response over what was expected of a usual target."""
         ratio = min(max(seconds / expected_s, MIN_SPEED), MAX_SPEED)
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -125,12 +125,13 @@
         if load + 1 > slots * (1.0 + QUEUE_PART):
             return None
         chance = self._estimate_warmth(record, need, allowed, now)
-        factor = record.speed / max(record.health.success_rate, 0.1)
+        slowness = record.measure_slowness(now)
+        factor = slowness / max(record.health.success_rate, 0.1)
         if record.is_cold(now):
             factor *= COLD_FACTOR
         factor *= 1.0 + LOAD_PENALTY * load / slots
         queued = max(load + 1 - slots, 0.0)
-        wait = queued / slots * times.get_warm() * record.speed
+        wait = queued / slots * times.get_warm() * slowness
         expected = 2 * record.latency_s + wait + times.estimate(chance) * factor
         is_preferred = chance >= PREFERRED_CHANCE
         return Choice(record, expected, load + 1 <= slots, chance, is_preferred)
--- a/toucanwood/placement/tests/test_decisions.py
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -57,17 +57,15 @@
 def start(pool, need, now=0.0):
     placed = pool.place(need, now)
     assert isinstance(placed, Placed)
-    pool.start(placed.record, need, now)
-    return placed
+    return attrs.evolve(placed, number=pool.start(placed, need, now))
 
 
 def finish(pool, placed, need, now, outcome=Outcome.OK, seconds=0.1, report=None):
     return pool.finish(
-        placed.record,
+        placed,
         need,
         outcome,
         seconds=seconds,
-        warm_chance=placed.choice.warm_chance,
         report=report,
         now=now,
     )
@@ -115,7 +113,8 @@
     pool.find_times(build_need()).record(0.6, 0.03)
     pool.find_times(build_need()).record(0.2, 0.95)
     for record in pool.records.values():
-        record.in_flight = 3
+        for _ in range(3):
+            record.start_request(0.2, 0.0)
     slow = build_need(object_key="o", excluded=frozenset({_find_first(pool, "o")}))
     assert not isinstance(pool.place(slow, 0.0), Placed)
 
@@ -195,8 +194,8 @@
             need = build_need(now)
             placed = pool.place(need, now)
             if isinstance(placed, Placed):
-                pool.start(placed.record, need, now)
-                finish(pool, placed, need, now)
+                number = pool.start(placed, need, now)
+                finish(pool, attrs.evolve(placed, number=number), need, now)
                 sent.append(now)
             elif isinstance(placed, Waiting):
                 pool.withdraw(placed)
@@ -280,3 +279,23 @@
         moved += region == "south"
         share.add(region, now)
     assert moved <= 0.12 * 200
+
+
+# Guards against a target that has stopped and keeps its requests until they time out.
+def test_target_whose_requests_take_far_too_long_is_avoided_before_they_end():
+    pool = build_pool(2)
+    pool.find_times(build_need()).record(0.1, 0.95)
+    for _ in range(2):
+        stuck = start(pool, build_need(excluded=frozenset({"t-1"})), 0.0)
+        assert stuck.record.id == "t-0"
+    later = build_need(0.7, objective_at=5.0)
+    assert start(pool, later, 0.7).record.id == "t-1"
+
+
+def test_request_that_times_out_counts_as_slow():
+    pool = build_pool(1)
+    need = build_need()
+    pool.find_times(need).record(0.1, 0.95)
+    placed = start(pool, need)
+    finish(pool, placed, need, 1.0, Outcome.TIMED_OUT, seconds=1.0)
+    assert placed.record.speed > 1.5
--- a/toucanwood/placement/tests/test_load.py
+++ b/toucanwood/placement/tests/test_load.py
@@ -44,11 +44,10 @@
             busy[target] = [at for at in busy[target] if at > end]
             heapq.heapify(busy[target])
             pool.finish(
-                placed.record,
+                placed,
                 need,
                 Outcome.OK,
                 seconds=end - started,
-                warm_chance=placed.choice.warm_chance,
                 report=LoadReport(len(busy[target]), 0, SLOTS),
                 now=end,
             )
@@ -75,8 +74,8 @@
         keys[id(need)] = key
         decision = pool.place(need, now)
         if isinstance(decision, Placed):
-            pool.start(decision.record, need, now)
-            run(decision, need, key, now)
+            number = pool.start(decision, need, now)
+            run(attrs.evolve(decision, number=number), need, key, now)
         elif isinstance(decision, Refused):
             counts["refused"] += 1
         else:
