Judge by medians, and by the time since an object was sent

Cause: 15% of the runs at targets that were believed warm were not; the mean (297 ms) lay at the objective (300 ms) though the median was 200 ms, so requests were turned away as late.

--- a/toucanwood/placement/_affinity.py
+++ b/toucanwood/placement/_affinity.py
@@ -14,7 +14,10 @@
 # The chance that a target of each rank has the object warm because another entry has
 # sent it there. The order of ranks is the same at all entries.
 WARM_CHANCES = (0.85, 0.3, 0.1, 0.05)
-KNOWN_CHANCE = 0.95
+# The chance where this entry has sent the object there itself, by the time since then:
+# other objects replace it meanwhile.
+KNOWN_CHANCES = ((1.5, 0.95), (4.0, 0.8), (math.inf, 0.5))
+KNOWN_CHANCE = KNOWN_CHANCES[0][1]
 OTHER_CHANCE = 0.03
 # A target that has just appeared has nothing warm.
 NEW_CHANCE = 0.3
@@ -72,3 +75,8 @@
     digest = hashlib.blake2b(text, digest_size=8).digest()
     uniform = (int.from_bytes(digest, "big") + 1) / 2**64
     return -math.log(uniform) / weight
+
+
+def find_known_chance(age_s: float) -> float:
+    """Return the chance that a target still has what it got some time ago."""
+    return next(chance for limit, chance in KNOWN_CHANCES if age_s <= limit)
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -124,7 +124,7 @@
         number = record.start_request(expected, now)
         self.selection.note_sent(record, now)
         if need.object_key is not None:
-            record.remember_object(need.object_key)
+            record.remember_object(need.object_key, now)
         return number
 
     def finish(
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -60,7 +60,8 @@
     _others: float = 0.0
     _others_mean: float = 0.0
     _reported_at: float = float("-inf")
-    _objects: "OrderedDict[str, None]" = attrs.field(factory=OrderedDict)
+    # When each object was sent to the target.
+    _objects: "OrderedDict[str, float]" = attrs.field(factory=OrderedDict)
 
     @property
     def id(self) -> str:
@@ -117,16 +118,17 @@
         ratio = min(max(seconds / expected_s, MIN_SPEED), MAX_SPEED)
         self.speed += SPEED_WEIGHT * (ratio - self.speed)
 
-    def remember_object(self, key: str) -> None:
+    def remember_object(self, key: str, now: float) -> None:
         """Note that the target handles an object."""
-        self._objects[key] = None
+        self._objects[key] = now
         self._objects.move_to_end(key)
         if len(self._objects) > MAX_REMEMBERED_OBJECTS:
             self._objects.popitem(last=False)
 
-    def knows_object(self, key: str) -> bool:
-        """Return whether this entry has sent the object to the target lately."""
-        return key in self._objects
+    def measure_object_age(self, key: str, now: float) -> float | None:
+        """Return the time since this entry sent an object, or None if it did not."""
+        sent_at = self._objects.get(key)
+        return None if sent_at is None else now - sent_at
 
     def restart(self, now: float) -> None:
         """Forget what a new start of the target has lost."""
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -11,6 +11,7 @@
     OTHER_CHANCE,
     WARM_CHANCES,
     ObjectRanks,
+    find_known_chance,
 )
 from toucanwood.placement._cold import ColdStartGate, rank_senders
 from toucanwood.placement._need import Need
@@ -147,11 +148,12 @@
         key = need.object_key
         if key is None:
             return KNOWN_CHANCE
-        if record.knows_object(key):
-            return KNOWN_CHANCE
+        age = record.measure_object_age(key, now)
+        known = find_known_chance(age) if age is not None else OTHER_CHANCE
         rank = self.ranks.find_rank(key, record.id, allowed)
         if rank is None:
-            return OTHER_CHANCE
+            return known
+        chance = WARM_CHANCES[rank]
         if now - record.seen_at < NEW_TARGET_S:
-            return NEW_CHANCE * WARM_CHANCES[rank]
-        return WARM_CHANCES[rank]
+            chance *= NEW_CHANCE
+        return max(chance, known)
--- a/toucanwood/placement/_times.py
+++ b/toucanwood/placement/_times.py
@@ -6,15 +6,21 @@
 FIRST_OTHER_PART = 1.2
 # A warm object takes about this part of the time until it is measured.
 FIRST_WARM_PART = 0.4
-TIME_WEIGHT = 0.05
-# A response counts for the warm or the other mean only where the chance was this clear.
+# Step of the median towards each response, as a part of the median.
+MEDIAN_STEP = 0.04
+# A response counts for the warm or the other median only where the chance was this
+# clear.
 CLEAR_WARM = 0.9
 CLEAR_OTHER = 0.1
 
 
 @attrs.define
 class KindTimes:
-    """Hold the mean times of one kind of request, in seconds."""
+    """Hold the median times of one kind of request, in seconds.
+
+    A mean would be moved by the few objects that are not warm although that was likely,
+    and requests that are mostly in time would be turned away as late.
+    """
 
     objective_s: float = 0.4
     warm_s: float | None = None
@@ -26,13 +32,13 @@
         return warm_chance * self.get_warm() + (1.0 - warm_chance) * other
 
     def get_warm(self) -> float:
-        """Return the mean time with a warm object."""
+        """Return the median time with a warm object."""
         if self.warm_s is not None:
             return self.warm_s
         return FIRST_WARM_PART * self.get_other()
 
     def get_other(self) -> float:
-        """Return the mean time with an object that is not warm."""
+        """Return the median time with an object that is not warm."""
         if self.other_s is not None:
             return self.other_s
         if self.warm_s is not None:
@@ -42,10 +48,13 @@
     def record(self, seconds: float, warm_chance: float) -> None:
         """Count one response."""
         if warm_chance >= CLEAR_WARM:
-            self.warm_s = _blend(self.warm_s, seconds)
+            self.warm_s = _move_median(self.warm_s, seconds)
         elif warm_chance <= CLEAR_OTHER:
-            self.other_s = _blend(self.other_s, seconds)
+            self.other_s = _move_median(self.other_s, seconds)
 
 
-def _blend(mean: float | None, value: float) -> float:
-    return value if mean is None else mean + TIME_WEIGHT * (value - mean)
+def _move_median(median: float | None, value: float) -> float:
+    if median is None:
+        return value
+    step = min(MEDIAN_STEP * median, abs(value - median))
+    return median + step if value > median else median - step
