Leave the answered request out of the reported load

Cause: a target's report counts the request that it answers (no report of 0 running in 5867 responses), so each target seemed to have one request more.

--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -73,8 +73,12 @@
         return self.is_unproven or now < self.cold_until
 
     def record_load(self, report: LoadReport, now: float) -> None:
-        """Take over a report; what is not of this entry is the load of others."""
-        total = report.running + report.waiting
+        """Take over a report that came with a response, after that request has ended.
+
+        Targets count the request that they answer as running. What is not of this
+        entry is the load of others.
+        """
+        total = report.running + report.waiting - 1
         self._others = max(total - self.in_flight, 0)
         self._others_mean += REPORT_WEIGHT * (self._others - self._others_mean)
         self._reported_at = now
--- a/toucanwood/placement/tests/test_decisions.py
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -299,3 +299,12 @@
     placed = start(pool, need)
     finish(pool, placed, need, 1.0, Outcome.TIMED_OUT, seconds=1.0)
     assert placed.record.speed > 1.5
+
+
+# Guards against a slot of each target that seems taken by the request just answered.
+def test_idle_target_that_reports_the_answered_request_counts_as_idle():
+    pool = build_pool(1)
+    need = build_need()
+    placed = start(pool, need)
+    finish(pool, placed, need, 0.1, report=LoadReport(1, 0, 4))
+    assert placed.record.estimate_load(0.1) == 0
