--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -133,8 +133,11 @@
         now = asyncio.get_running_loop().time()
         self._entries = entries
         self._note_evacuations(frozenset(view.evacuated))
+        # A new entry does not know how long the targets that it finds have run; only
+        # those that come later are new.
+        seen_at = now if self._pools else float("-inf")
         for target in view.targets.values():
-            self._update_target(target, now)
+            self._update_target(target, now, seen_at)
         for pool in self._pools.values():
             for key in [key for key in pool.records if key not in view.targets]:
                 del pool.records[key]
@@ -166,13 +169,13 @@
             and record.target.data_centre not in self._evacuated
         }
 
-    def _update_target(self, target: Target, now: float) -> None:
+    def _update_target(self, target: Target, now: float, seen_at: float) -> None:
         pool = self._find_pool(target.service)
         record = pool.records.get(target.id)
         if record is None:
             region = self._find_region(target.data_centre)
             record = TargetRecord(
-                target, region, self._estimate_latency(target), seen_at=now
+                target, region, self._estimate_latency(target), seen_at=seen_at
             )
             pool.records[target.id] = record
             record.cold_until = now + target.cold_left_s
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from toucanwood.gateway.tests.world import (
     NAMES,
     FakeTarget,
@@ -258,3 +260,20 @@
         return await answer()(writer, request)
 
     play(scenario, FakeTarget("t-1", slow), stop_grace_s=2.0)
+
+
+# Guards against a restarted entry that takes all targets for new, sends objects
+# anywhere, and so drives the warm ones out of every target.
+def test_targets_that_an_entry_finds_at_its_start_are_not_new():
+    async def scenario(world):
+        records = world.gateway.dispatcher.list_records()
+        assert [record.seen_at for record in records] == [float("-inf")]
+        late = attrs.evolve(
+            world.targets[0].describe(), id="t-late", address="1.1.1.1:1"
+        )
+        world.gateway.view.targets["t-late"] = late
+        world.gateway.dispatcher.update(world.gateway.view, frozenset())
+        seen = {r.id: r.seen_at for r in world.gateway.dispatcher.list_records()}
+        assert seen["t-late"] > 0
+
+    play(scenario, FakeTarget("t-1"))
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -26,6 +26,10 @@
 # The mean fades with this time constant. A target that seems full gets no request and
 # so sends no report; with a longer time it would stay unused while it is idle.
 REPORT_FADE_S = 0.5
+# Without a recent report, this many entries are taken to send as much as this one:
+# objects belong to a region with two or three entries, and after a start of all entries
+# none of them knows what the others have just sent.
+PEERS = 1
 
 
 @attrs.frozen
@@ -92,7 +96,8 @@
         age = now - self._reported_at
         weight = max(1.0 - age / REPORT_LIFE_S, 0.0)
         mean = self._others_mean * math.exp(-age / REPORT_FADE_S)
-        return self.in_flight + weight * self._others + (1.0 - weight) * mean
+        unknown = max(mean, PEERS * self.in_flight)
+        return self.in_flight + weight * self._others + (1.0 - weight) * unknown
 
     def start_request(self, expected_s: float, now: float) -> int:
         """Count a request that is sent and return its number."""
