--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,8 +15,8 @@
 ADAPTER = ROOT / "platform"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_PARALLEL = 4
-# Modules that start a fleet of 14 processes. Several fleets at once kept each other from
-# starting within the time that the tests wait on a machine with 6 cores.
+# Modules that start a fleet of 14 processes. Several fleets at once kept each other
+# from starting within the time that the tests wait on a machine with 6 cores.
 FLEET_PREFIX = "examples.tests."
 MODULE_TIMEOUT_S = 240
 
