--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -59,6 +59,27 @@
     sys.exit(serve_forever(_read_settings(settings)))
 
 
+@app.command()
+def story(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[list[Path], typer.Argument(help="Log files of instances.")],
+) -> None:
+    """Print what the logs tell of one request, in order."""
+    from toucanwood.stories import parse_line, tell_story
+
+    lines = [
+        line
+        for file in files
+        for text in file.read_text(errors="replace").splitlines()
+        if (line := parse_line(text, file.name)) is not None
+    ]
+    told = tell_story(request_id, lines)
+    if not told:
+        raise CommandError(f"no line names request {request_id}", ExitCode.REFUSED)
+    for line in told:
+        typer.echo(f"{line.source}: {line.text}")
+
+
 @app.command()
 def check(file: FileArgument) -> None:
     """Check a settings file or a declaration and print every fault."""
