Start requests at once or turn them away at once; drop the queue at the entry

Cause: requests for objects wait for different targets, so a queue at the entry held back requests whose targets were free, and those that waited were late.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,6 +5,7 @@
 from benchmarks import capacity, consensus, convergence, limits, outcomes
 from benchmarks._output import build_command
 from benchmarks.blocks import measure_blocks
+from benchmarks.placement import measure_placement
 from benchmarks.steering import measure_steering
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
@@ -13,6 +14,7 @@
 app.command("outcomes")(build_command(outcomes.run))
 app.command("consensus")(build_command(consensus.run))
 app.command("blocks")(measure_blocks)
+app.command("placement")(measure_placement)
 app.command("capacity")(build_command(capacity.run))
 app.command("convergence")(build_command(convergence.run))
 
--- a/toucanwood/controller/_directory.py
+++ b/toucanwood/controller/_directory.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-# An entry announces itself twice a second; after this time without a word it is not
-# named any more.
-ENTRY_TIMEOUT_S = 2.5
+# An entry announces itself every second; after this time without a word it is not named
+# any more.
+ENTRY_TIMEOUT_S = 3.0
 # An answer with a whole large fleet would be long; callers need a few of a region.
 MAX_ADDRESSES = 64
 
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -1,4 +1,4 @@
-"""Requests that wait for targets, on the event loop."""
+"""The pools of all services, in step with the fleet view."""
 
 import asyncio
 import random
@@ -20,7 +20,6 @@
     Selection,
     ServicePool,
     TargetRecord,
-    Waiting,
 )
 
 log = structlog.get_logger()
@@ -29,9 +28,6 @@
 SAME_DATA_CENTRE_S = 0.0002
 SAME_REGION_S = 0.001
 OTHER_REGION_S = 0.012
-# Waiting requests are looked at this often even if nothing has changed, because what
-# is known of other entries' requests fades with time.
-PUMP_INTERVAL_S = 0.02
 
 
 @attrs.define(eq=False)
@@ -73,36 +69,19 @@
         self._share = share
         self._on_ejected = on_ejected
         self._pools: dict[str, ServicePool] = {}
-        self._futures: dict[Waiting, asyncio.Future[Lease | Refused]] = {}
-        self._timer: asyncio.TimerHandle | None = None
         self._entries: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         self._random = random.Random()
 
-    async def acquire(self, need: Need) -> Lease | Refused:
+    def acquire(self, need: Need) -> Lease | Refused:
         """Return a place at a target, or why the request is turned away."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+        now = asyncio.get_running_loop().time()
         pool = self._find_pool(need.service)
         decision = pool.place(need, now)
         if isinstance(decision, Refused):
             return decision
-        if isinstance(decision, Placed):
-            return self._start(pool, decision, need, now)
-        future: asyncio.Future[Lease | Refused] = loop.create_future()
-        self._futures[decision] = future
-        self._arm_timer()
-        try:
-            return await future
-        except asyncio.CancelledError:
-            pool.withdraw(decision)
-            if future.done() and not future.cancelled():
-                given = future.result()
-                if isinstance(given, Lease):
-                    self.release(given, Outcome.CANCELLED)
-            raise
-        finally:
-            self._futures.pop(decision, None)
+        number = pool.start(decision, need, now)
+        return Lease(attrs.evolve(decision, number=number), need, now)
 
     def release(
         self, lease: Lease, outcome: Outcome, report: LoadReport | None = None
@@ -126,7 +105,6 @@
                 success_rate=round(lease.record.health.success_rate, 2),
             )
             self._on_ejected(lease.record)
-        self._pump(pool, now)
 
     def update(self, view: FleetView, entries: frozenset[str]) -> None:
         """Take over the targets, evacuations and entries of the fleet."""
@@ -147,7 +125,6 @@
             pool.selection.entries = entries
             pool.selection.evacuated = self._evacuated
             pool.selection.ranks.set_targets(self._weigh_targets(pool))
-            self._pump(pool, now)
 
     def list_records(self) -> list[TargetRecord]:
         """Return what is known of every target."""
@@ -223,52 +200,8 @@
                 evacuated=self._evacuated,
                 entries=self._entries,
                 share=self._share,
+                generator=self._random,
             )
             pool = ServicePool(service, selection, self._random)
             self._pools[service] = pool
         return pool
-
-    def _start(
-        self, pool: ServicePool, placed: Placed, need: Need, now: float
-    ) -> Lease:
-        number = pool.start(placed, need, now)
-        return Lease(attrs.evolve(placed, number=number), need, now)
-
-    def _pump(self, pool: ServicePool, now: float) -> None:
-        if not pool.count_waiting():
-            return
-        for item, decision in pool.place_waiting(now):
-            future = self._futures.get(item)
-            given: Lease | Refused = (
-                decision
-                if isinstance(decision, Refused)
-                else Lease(decision, item.need, now)
-            )
-            if future is not None and not future.done():
-                future.set_result(given)
-            elif isinstance(given, Lease):
-                self._give_up(pool, given, now)
-
-    def _give_up(self, pool: ServicePool, lease: Lease, now: float) -> None:
-        """Return a place that was given to a caller who has left."""
-        pool.finish(
-            lease.placed,
-            lease.need,
-            Outcome.CANCELLED,
-            seconds=0.0,
-            report=None,
-            now=now,
-        )
-
-    def _arm_timer(self) -> None:
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(PUMP_INTERVAL_S, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        now = asyncio.get_running_loop().time()
-        for pool in self._pools.values():
-            self._pump(pool, now)
-        if any(pool.count_waiting() for pool in self._pools.values()):
-            self._arm_timer()
--- a/toucanwood/gateway/_feed.py
+++ b/toucanwood/gateway/_feed.py
@@ -21,12 +21,12 @@
 
 log = structlog.get_logger()
 
-POLL_INTERVAL_S = 0.15
+POLL_INTERVAL_S = 0.25
 POLL_TIMEOUT_S = 0.5
 # After a time-out the next poll gets twice the time, up to this: a long answer on a
 # slow link would otherwise never arrive.
 MAX_POLL_TIMEOUT_S = 2.0
-ANNOUNCE_INTERVAL_S = 0.5
+ANNOUNCE_INTERVAL_S = 1.0
 USAGE_INTERVAL_S = 0.25
 USAGE_TIMEOUT_S = 0.4
 # State of a controller that can't prove it to be newer is used only by an entry that
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -91,7 +91,7 @@
     async def _try_targets(self, context: RequestContext, turn: Turn) -> None:
         failure: Verdict | None = None
         for _ in range(MAX_CONNECTS):
-            lease = await self._acquire(context, failure)
+            lease = self._acquire(context, failure)
             result = await self._attempt(context, lease, turn)
             if result is None:
                 return
@@ -102,8 +102,8 @@
         assert failure is not None
         raise Refusal(self._settle(context, failure))
 
-    async def _acquire(self, context: RequestContext, failure: Verdict | None) -> Lease:
-        decision = await self._dispatcher.acquire(self._build_need(context))
+    def _acquire(self, context: RequestContext, failure: Verdict | None) -> Lease:
+        decision = self._dispatcher.acquire(self._build_need(context))
         if not isinstance(decision, Refused):
             return decision
         context.notes["refused"] = decision.reason
@@ -353,4 +353,4 @@
         message = "no target answered in the time of the route"
         return doubt("deadline_exceeded", message, status=504)
     message = "no target could take the request in the time of the route"
-    return refuse("waited", message, status=503, retry_after=0.2)
+    return refuse("not_sent", message, status=503, retry_after=0.2)
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -8,15 +8,18 @@
 from toucanwood.placement._cold import ColdStartGate
 from toucanwood.placement._health import Health, Outcome
 from toucanwood.placement._need import Need
-from toucanwood.placement._pool import Placed, Refused, ServicePool, Waiting
+from toucanwood.placement._pool import Placed, Refused, ServicePool
 from toucanwood.placement._record import LoadReport, TargetRecord
-from toucanwood.placement._selection import Selection
+from toucanwood.placement._selection import Choice, Selection
 from toucanwood.placement._shift import RegionShare
+from toucanwood.placement._times import KindTimes
 
 __all__ = [
     "OWN_REGION_WEIGHT",
+    "Choice",
     "ColdStartGate",
     "Health",
+    "KindTimes",
     "LoadReport",
     "Need",
     "Outcome",
@@ -27,5 +30,4 @@
     "Selection",
     "ServicePool",
     "TargetRecord",
-    "Waiting",
 ]
--- a/toucanwood/placement/_affinity.py
+++ b/toucanwood/placement/_affinity.py
@@ -49,6 +49,17 @@
         allowed: Collection[str] | None = None,
     ) -> int | None:
         """Return the rank of a target among the allowed ones, 0 for the first."""
+        return self._find_ranks(object_key, allowed).get(target_id)
+
+    def list_ranked(
+        self, object_key: str, allowed: Collection[str] | None = None
+    ) -> list[str]:
+        """Return the targets that an object goes to first, the first one first."""
+        return list(self._find_ranks(object_key, allowed))
+
+    def _find_ranks(
+        self, object_key: str, allowed: Collection[str] | None
+    ) -> dict[str, int]:
         key = (object_key, frozenset(allowed) if allowed is not None else frozenset())
         ranks = self._ranks.get(key)
         if ranks is None:
@@ -59,7 +70,7 @@
             self._ranks[key] = ranks
             if len(self._ranks) > MAX_CACHED_OBJECTS:
                 self._ranks.popitem(last=False)
-        return ranks.get(target_id)
+        return ranks
 
 
 def _rank(object_key: str, weights: Mapping[str, float]) -> dict[str, int]:
--- a/toucanwood/placement/_record.py
+++ b/toucanwood/placement/_record.py
@@ -134,6 +134,10 @@
         if len(self._objects) > MAX_REMEMBERED_OBJECTS:
             self._objects.popitem(last=False)
 
+    def has_object(self, key: str) -> bool:
+        """Return whether this entry has sent an object to the target lately."""
+        return key in self._objects
+
     def measure_object_age(self, key: str, now: float) -> float | None:
         """Return the time since this entry sent an object, or None if it did not."""
         sent_at = self._objects.get(key)
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -1,6 +1,7 @@
 """The choice of a target among those of a service."""
 
-from collections.abc import Collection, Iterable
+import random
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -26,6 +27,10 @@
 # Requests may queue at a target up to this part of its slots: waiting for a target
 # that has the object warm is shorter than a run at another one.
 QUEUE_PART = 0.67
+LESS_URGENT_QUEUE_PART = 0.34
+# With more targets than this, only those of the object and a few others are looked at.
+SHORTLIST_FROM = 16
+OTHERS_LOOKED_AT = 4
 # The chance of the first target of an object, or of one that is known to have it.
 PREFERRED_CHANCE = WARM_CHANCES[0]
 
@@ -51,27 +56,64 @@
     entries: Collection[str] = frozenset()
     cold_rate: float = 0.0
     share: RegionShare | None = None
+    generator: random.Random = attrs.field(factory=random.Random)
     ranks: ObjectRanks = attrs.field(factory=ObjectRanks)
     _gates: dict[str, ColdStartGate] = attrs.field(factory=dict)
 
     def choose(
-        self, records: Iterable[TargetRecord], need: Need, times: KindTimes, now: float
+        self,
+        records: Mapping[str, TargetRecord],
+        need: Need,
+        times: KindTimes,
+        now: float,
+        *,
+        is_urgent: bool = True,
     ) -> Choice | None:
-        """Return the best target with room, or None."""
+        """Return the best target with room, or None.
+
+        Less urgent requests may not use the queues of the targets.
+        """
         full = self.share.list_full(now) if self.share is not None else frozenset()
+        allowed = None
+        if need.regions:
+            allowed = {key for key, item in records.items() if _is_home(item, need)}
+        queue_part = QUEUE_PART if is_urgent else LESS_URGENT_QUEUE_PART
         best: Choice | None = None
-        candidates = [item for item in records if self._is_candidate(item, need)]
-        allowed = {item.id for item in candidates} if need.regions else None
-        for record in candidates:
-            if record.region in full:
+        for record in self._shortlist(records, need, allowed):
+            if record.region in full or not self._is_candidate(record, need):
                 continue
-            choice = self._consider(record, need, times, allowed, now)
+            choice = self._consider(record, need, times, allowed, now, queue_part)
             if choice is None or not self._may_warm_up(record, now):
                 continue
             if best is None or choice.expected_s < best.expected_s:
                 best = choice
         return best
 
+    def _shortlist(
+        self,
+        records: Mapping[str, TargetRecord],
+        need: Need,
+        allowed: Collection[str] | None,
+    ) -> Iterable[TargetRecord]:
+        """Return the targets worth a look: those of the object, and a few others.
+
+        To look at all of a hundred targets for each request would take a third of the
+        processor of a small entry.
+        """
+        key = need.object_key
+        if key is None or len(records) <= SHORTLIST_FROM:
+            return records.values()
+        ranked = self.ranks.list_ranked(key, allowed)
+        listed = {item: records[item] for item in ranked if item in records}
+        for record in records.values():
+            if record.has_object(key):
+                listed[record.id] = record
+        names = list(records)
+        for _ in range(OTHERS_LOOKED_AT):
+            name = names[self.generator.randrange(len(names))]
+            listed[name] = records[name]
+        return listed.values()
+
     def has_candidate(self, records: Iterable[TargetRecord], need: Need) -> bool:
         """Return whether a target could take the request once it has room."""
         return any(self._is_candidate(record, need) for record in records)
@@ -94,7 +136,7 @@
             or record.health.is_ejected
             or target.data_centre in self.evacuated
             or target.id in need.excluded
-            or (need.regions and record.region not in need.regions)
+            or not _is_home(record, need)
         )
 
     def _may_warm_up(self, record: TargetRecord, now: float) -> bool:
@@ -119,11 +161,12 @@
         times: KindTimes,
         allowed: Collection[str] | None,
         now: float,
+        queue_part: float,
     ) -> Choice | None:
         """Return what to expect of a target, or None where it has no room."""
         slots = record.target.slots
         load = record.estimate_load(now)
-        if load + 1 > slots * (1.0 + QUEUE_PART):
+        if load + 1 > slots * (1.0 + queue_part):
             return None
         chance = self._estimate_warmth(record, need, allowed, now)
         slowness = record.measure_slowness(now)
@@ -157,3 +200,7 @@
         if now - record.seen_at < NEW_TARGET_S:
             chance *= NEW_CHANCE
         return max(chance, known)
+
+
+def _is_home(record: TargetRecord, need: Need) -> bool:
+    return not need.regions or record.region in need.regions
--- a/toucanwood/quota/_gate.py
+++ b/toucanwood/quota/_gate.py
@@ -10,12 +10,21 @@
 # Without an answer of the leader for this time, three reports, an entry admits no more
 # than before. Until then it may admit too much of an organisation whose demand rises.
 STALE_S = 0.75
-# Requests that may come at once without a leader, as the time in which they are earned.
+# A new entry admits everything until the leader's first answer, for this time at most:
+# its even part of a small rate would be less than one request. What is too much is a
+# debt that the leader settles.
+FIRST_ANSWER_S = 1.5
+# Requests that may come at once without a leader: as the time in which they are earned,
+# and at least this number, because requests of small organisations come in clusters.
 LOCAL_BURST_S = 0.5
+MIN_LOCAL_BURST = 2.0
 # Weight of the last interval in the remembered rate of admission.
 USE_WEIGHT = 0.3
 
 
+NEVER = float("-inf")
+
+
 @attrs.define
 class Usage:
     """Count the requests that were offered and those that went to a target."""
@@ -49,7 +58,8 @@
 
     entry_count: int = 1
     _shares: dict[str, _Share] = attrs.field(factory=dict)
-    _answered_at: float = 0.0
+    _answered_at: float = NEVER
+    _first_at: float | None = None
     _collected_at: float = 0.0
 
     def admit(self, organisation: Organisation, now: float) -> bool:
@@ -58,11 +68,12 @@
             return True
         share = self._shares.get(organisation.name)
         if share is None:
-            # A new entry has earned its local burst, even if no leader answers yet.
-            share = self._shares[organisation.name] = _Share(
-                filled_at=now - LOCAL_BURST_S
-            )
+            share = self._shares[organisation.name] = _Share(filled_at=now)
         share.usage.offered += 1
+        if self._first_at is None:
+            self._first_at = now
+        if self._answered_at == NEVER and now - self._first_at < FIRST_ANSWER_S:
+            return True
         if now - self._answered_at > STALE_S:
             return self._take_token(share, organisation, now)
         share.filled_at = now
@@ -125,7 +136,8 @@
         even = organisation.rate / max(self.entry_count, 1)
         rate = max(share.use_rate, even)
         earned = max(now - share.filled_at, 0.0) * rate
-        share.tokens = min(share.tokens + earned, max(rate * LOCAL_BURST_S, 1.0))
+        burst = max(rate * LOCAL_BURST_S, MIN_LOCAL_BURST)
+        share.tokens = min(share.tokens + earned, burst)
         share.filled_at = now
         if share.tokens < 1.0:
             return False
--- a/toucanwood/quota/tests/test_quota.py
+++ b/toucanwood/quota/tests/test_quota.py
@@ -107,3 +107,13 @@
     gate.put_back(taken)
     again = gate.collect(0.2)["a"]
     assert (again.offered, again.used) == (1, 1)
+
+
+# Guards against an entry of a large fleet that refuses small organisations after its
+# start, because its even part of their rate is less than one request.
+def test_new_entry_admits_until_the_leader_answers():
+    organisation = build_organisation(14)
+    gate = QuotaGate(entry_count=60)
+    assert all(gate.admit(organisation, 5.0 + 0.1 * step) for step in range(10))
+    late = [gate.admit(organisation, 8.0 + 0.1 * step) for step in range(30)]
+    assert sum(late) < 10
