--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes on loopback, faults from outside, a checker."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,9 +15,9 @@
 ADAPTER = ROOT / "platform"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_PARALLEL = 4
-# Modules that start a fleet of 14 processes. Several fleets at once kept each other
-# from starting within the time that the tests wait on a machine with 6 cores.
-FLEET_PREFIX = "examples.tests."
+# Modules that start a fleet of processes. Several fleets at once kept each other from
+# starting within the time that the tests wait on a machine with 6 cores.
+FLEET_PREFIXES = ("examples.tests.", "soak.tests.")
 MODULE_TIMEOUT_S = 240
 
 
@@ -79,7 +79,9 @@
         concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL) as pool,
     ):
         runs = [
-            (fleets if name.startswith(FLEET_PREFIX) else pool).submit(run_module, name)
+            (fleets if name.startswith(FLEET_PREFIXES) else pool).submit(
+                run_module, name
+            )
             for name in find_modules()
         ]
         for run in concurrent.futures.as_completed(runs):
