Write one line for a start that fails; drop settings that nothing reads

Cause: a damaged or full disk raised StorageError in the start of a controller, which run_program did not catch: a traceback in place of a line.

--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -28,9 +28,6 @@
     region_by_data_centre: Mapping[str, str]
     data_dir: str
     lookup_ttl_s: float = 2.0
-    lost_disks: int = 1
-    stop_grace_s: float = 6.0
-    metrics: str = ""
 
     @classmethod
     def from_config(cls, mapping: Mapping[str, Any]) -> "ControllerSettings":
@@ -44,11 +41,8 @@
         for name in ("controllers", "founders"):
             values[name] = tuple(reader.read(name, list) or ())
         values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
-        values["metrics"] = reader.read("metrics", str, "")
-        for name in ("lookup_ttl_s", "stop_grace_s"):
-            default = getattr(attrs.fields(cls), name).default
-            values[name] = reader.read_number(name, default, low=0)
-        values["lost_disks"] = reader.read_number("lost_disks", 1, low=0, integer=True)
+        default_ttl = attrs.fields(cls).lookup_ttl_s.default
+        values["lookup_ttl_s"] = reader.read_number("lookup_ttl_s", default_ttl, low=0)
         if faults:
             raise ValidationError(faults)
         return cls(**values)
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -7,10 +7,6 @@
 
 from toucanwood.utils import Fault, Reader, ValidationError
 
-# Part of the fleet's budget of repeats that entries use; the rest covers requests that
-# are counted in another window than here.
-RETRY_MARGIN = 0.7
-
 
 @attrs.frozen
 class GatewaySettings:
@@ -33,8 +29,6 @@
     retry_window_s: float = 10.0
     shift_fraction: float = 1.0
     shift_window_s: float = 2.0
-    max_descriptors: int = 1024
-    metrics: str = ""
 
     @classmethod
     def from_config(cls, mapping: Mapping[str, Any]) -> "GatewaySettings":
@@ -50,7 +44,6 @@
         values["controllers"] = tuple(reader.read("controllers", list) or ())
         values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
         values["link_bytes_per_s"] = reader.read_number("link_bytes_per_s", low=1)
-        values["metrics"] = reader.read("metrics", str, "")
         for field in attrs.fields(cls):
             if field.name not in values:
                 is_integer = isinstance(field.default, int)
--- a/toucanwood/utils/_process.py
+++ b/toucanwood/utils/_process.py
@@ -41,8 +41,9 @@
     program = build()
     try:
         await program.start()
-    except OSError as error:
-        log.error("start_failed", reason=str(error))
+    except Exception as error:
+        # A damaged or full disk, or a taken address: one line says why.
+        log.error("start_failed", reason=f"{type(error).__name__}: {error}")
         return EXIT_FAILED
     failed = asyncio.create_task(program.wait_failed())
     if not await _wait_first(stopped, failed):
