Let the regions of route and organisation both bind

Cause: where they had no region in common, the organisation's regions were used alone, so a request ran in a region that its route forbids.

--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -120,11 +120,7 @@
         )
 
     def _build_need(self, context: RequestContext) -> Need:
-        regions = context.route.regions
         organisation = context.organisation
-        if organisation is not None and organisation.regions:
-            both = regions & organisation.regions
-            regions = both if regions else organisation.regions
         priority = context.route.priority
         if organisation is not None and organisation.priority is not None:
             rank: tuple[int, ...] = (organisation.priority, priority)
@@ -138,7 +134,7 @@
             deadline_at=context.deadline_at,
             kind=context.route.name,
             object_key=context.object_key,
-            regions=regions,
+            regions=_find_regions(context),
             excluded=frozenset(context.excluded),
         )
 
@@ -343,6 +339,20 @@
     )
 
 
+def _find_regions(context: RequestContext) -> frozenset[str] | None:
+    """Return the regions in which a request may run; None stands for all.
+
+    The regions of the route and of the organisation both bind, so none may be left.
+    """
+    regions = context.route.regions or None
+    organisation = context.organisation
+    if organisation is None or not organisation.regions:
+        return regions
+    if regions is None:
+        return organisation.regions
+    return regions & organisation.regions
+
+
 def _is_late(context: RequestContext) -> bool:
     now = asyncio.get_running_loop().time()
     return now >= context.deadline_at
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -277,3 +277,22 @@
         assert seen["t-late"] > 0
 
     play(scenario, FakeTarget("t-1"))
+
+
+# Guards against a request that may run nowhere, because its route and its organisation
+# have no region in common, and runs anywhere.
+def test_request_whose_route_and_organisation_share_no_region_runs_nowhere():
+    async def scenario(world):
+        document = {**world.gateway.view.document}
+        organisation = {**document["organisations"][0], "regions": ["north"]}
+        document["organisations"] = [organisation]
+        state = [2, {**document, "revision": 2}, [], []]
+        state[3] = [target.to_wire() for target in world.gateway.view.targets.values()]
+        assert world.gateway.view.replace(2, state)
+        status, headers, _ = await world.send("/home/x")
+        assert status == 503 and headers["Toucanwood-Verdict"] == "not-run"
+        assert not world.seen
+        assert (await world.send("/safe/x"))[0] == 200
+
+    targets = [FakeTarget("t-1"), FakeTarget("t-2")]
+    play(scenario, *targets, data_centres=["a", "b"])
--- a/toucanwood/placement/_need.py
+++ b/toucanwood/placement/_need.py
@@ -8,8 +8,8 @@
     """Describe one request that is to be placed; times are in seconds.
 
     `objective_at` is when it would be late, `deadline_at` when it is of no more use.
-    `rank` orders waiting requests; the lowest goes first. `regions` is empty where
-    every region is allowed.
+    The lowest `rank` is the most urgent. `regions` is None where every region is
+    allowed.
     """
 
     service: str
@@ -19,5 +19,5 @@
     deadline_at: float
     kind: str = ""
     object_key: str | None = None
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
     excluded: frozenset[str] = frozenset()
--- a/toucanwood/placement/_selection.py
+++ b/toucanwood/placement/_selection.py
@@ -75,7 +75,7 @@
         """
         full = self.share.list_full(now) if self.share is not None else frozenset()
         allowed = None
-        if need.regions:
+        if need.regions is not None:
             allowed = {key for key, item in records.items() if _is_home(item, need)}
         queue_part = QUEUE_PART if is_urgent else LESS_URGENT_QUEUE_PART
         best: Choice | None = None
@@ -203,4 +203,4 @@
 
 
 def _is_home(record: TargetRecord, need: Need) -> bool:
-    return not need.regions or record.region in need.regions
+    return need.regions is None or record.region in need.regions
