Go on after a step that fails; answer all pipelined requests before a stop closes

Cause: the loops of the feed, the probes and the control group ended for good with an unexpected error; a leaving entry closed the connection after the first of several running requests. Change: utils.repeat; only the last running request closes its connection, and what runs behind a closing answer is cancelled.

--- a/toucanwood/controller/_group.py
+++ b/toucanwood/controller/_group.py
@@ -1,6 +1,5 @@
 """Which controllers vote in the replicated log."""
 
-import asyncio
 from collections.abc import Callable, Iterable
 
 import structlog
@@ -30,14 +29,10 @@
         self._replica = replica
         self._list_live = list_live
 
-    async def run(self) -> None:
-        """Make one change at a time while this controller leads."""
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._replica.is_leader():
-                await self._change_one()
-
-    async def _change_one(self) -> None:
+    async def change_one(self) -> None:
+        """Make at most one change, if this controller leads."""
+        if not self._replica.is_leader():
+            return
         members = self._replica.members
         live = set(self._list_live())
         for controller in sorted(live - set(members.by_id)):
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -9,7 +9,7 @@
 
 from toucanwood.consensus import FileDisk, Replica, Storage
 from toucanwood.controller._directory import Directory, EntryInfo
-from toucanwood.controller._group import GroupKeeper
+from toucanwood.controller._group import CHECK_INTERVAL_S, GroupKeeper
 from toucanwood.controller._heard import HeardTargets
 from toucanwood.controller._messages import (
     AnnounceController,
@@ -35,7 +35,7 @@
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaAccounts, Usage
 from toucanwood.routing import RoutingTable
-from toucanwood.utils import TaskGroup, ValidationError
+from toucanwood.utils import TaskGroup, ValidationError, repeat
 from toucanwood.verdicts import Execution, Verdict, doubt, refuse
 
 log = structlog.get_logger()
@@ -87,9 +87,13 @@
         await self.replica.start()
         for controller in self.replica.members.by_id:
             self._note_controller(controller)
-        self._tasks.start(self._gossip(), name="gossip")
-        self._tasks.start(self._keeper.run(), name="group")
-        self._tasks.start(self._expire(), name="expiry")
+        steps = (
+            (self._gossip, GOSSIP_INTERVAL_S, "gossip"),
+            (self._keeper.change_one, CHECK_INTERVAL_S, "group"),
+            (self._expire, EXPIRY_INTERVAL_S, "expiry"),
+        )
+        for step, interval_s, name in steps:
+            self._tasks.start(repeat(step, interval_s, name=name), name=name)
         log.info("controller_started", id=self.settings.id)
 
     async def stop(self) -> None:
@@ -275,16 +279,14 @@
 
     async def _gossip(self) -> None:
         """Tell the other controllers what is known here."""
-        while True:
-            message = AnnounceController(
-                controllers=sorted(self._controllers),
-                heard=self._heard.take_unshared(),
-                is_member=self.replica.is_member,
-            )
-            for controller in list(self._controllers):
-                if controller != self.settings.id:
-                    self._send(controller, message)
-            await asyncio.sleep(GOSSIP_INTERVAL_S)
+        message = AnnounceController(
+            controllers=sorted(self._controllers),
+            heard=self._heard.take_unshared(),
+            is_member=self.replica.is_member,
+        )
+        for controller in list(self._controllers):
+            if controller != self.settings.id:
+                self._send(controller, message)
 
     def _send(self, controller: str, message: Any) -> None:
         try:
@@ -294,17 +296,15 @@
 
     async def _expire(self) -> None:
         """Remove targets that no controller hears any more, while this one leads."""
-        while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
-            now = self._now()
-            self.directory.expire(now)
-            silent = self._heard.list_silent(self.state.targets.values(), now)
-            if not self.replica.is_leader():
-                continue
-            for target in silent:
-                log.info("target_silent", target=target.id, service=target.service)
-                order = RemoveTarget(target.id, target.born_ms, target.sequence)
-                await self.submit(order)
+        now = self._now()
+        self.directory.expire(now)
+        silent = self._heard.list_silent(self.state.targets.values(), now)
+        if not self.replica.is_leader():
+            return
+        for target in silent:
+            log.info("target_silent", target=target.id, service=target.service)
+            order = RemoveTarget(target.id, target.born_ms, target.sequence)
+            await self.submit(order)
 
     def _note_controller(self, controller: str) -> None:
         if controller == self.settings.id or controller in self._controllers:
--- a/toucanwood/gateway/_feed.py
+++ b/toucanwood/gateway/_feed.py
@@ -17,7 +17,7 @@
 from toucanwood.fleet import FleetView
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaGate
-from toucanwood.utils import TaskGroup, ValidationError
+from toucanwood.utils import TaskGroup, ValidationError, repeat
 
 log = structlog.get_logger()
 
@@ -68,9 +68,13 @@
 
     def start(self) -> None:
         """Start to poll and announce."""
-        self._tasks.start(self._poll_forever(), name="poll-fleet")
-        self._tasks.start(self._announce_forever(), name="announce-entry")
-        self._tasks.start(self._report_forever(), name="report-usage")
+        steps = (
+            (self._poll_next, POLL_INTERVAL_S, "poll-fleet"),
+            (self._announce, ANNOUNCE_INTERVAL_S, "announce-entry"),
+            (self._report_usage, USAGE_INTERVAL_S, "report-usage"),
+        )
+        for step, interval_s, name in steps:
+            self._tasks.start(repeat(step, interval_s, name=name), name=name)
 
     async def stop(self) -> None:
         """Stop every task."""
@@ -100,17 +104,17 @@
             "entries": sorted(self.entries),
         }
 
-    async def _announce_forever(self) -> None:
-        while True:
-            self.announce()
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+    async def _announce(self) -> None:
+        self.announce()
 
-    async def _poll_forever(self) -> None:
-        while True:
+    async def _poll_next(self) -> None:
+        """Poll the current controller; turn to the next one unless that went well."""
+        is_good = False
+        try:
             is_good = await self._poll()
+        finally:
             if not is_good:
                 self._current = (self._current + 1) % max(len(self._controllers), 1)
-            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _poll(self) -> bool:
         """Ask one controller; return whether its state is proven current."""
@@ -167,13 +171,10 @@
         if changed:
             self._on_update()
 
-    async def _report_forever(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(USAGE_INTERVAL_S)
-            usage = self._quota.collect(loop.time())
-            if not await self._report(usage):
-                self._quota.put_back(usage)
+    async def _report_usage(self) -> None:
+        usage = self._quota.collect(asyncio.get_running_loop().time())
+        if not await self._report(usage):
+            self._quota.put_back(usage)
 
     async def _report(self, usage: dict[str, Any]) -> bool:
         if not self._leader:
--- a/toucanwood/gateway/_prober.py
+++ b/toucanwood/gateway/_prober.py
@@ -10,7 +10,7 @@
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.placement import TargetRecord
 from toucanwood.upstream import TargetClient, TargetError
-from toucanwood.utils import TaskGroup
+from toucanwood.utils import TaskGroup, repeat
 
 log = structlog.get_logger()
 
@@ -40,21 +40,19 @@
 
     def start(self) -> None:
         """Start to look for targets in doubt."""
-        self._tasks.start(self._run(), name="probe-targets")
+        main = repeat(self._start_due, CHECK_INTERVAL_S, name="probe-targets")
+        self._tasks.start(main, name="probe-targets")
 
     async def stop(self) -> None:
         """Stop every probe."""
         await self._tasks.stop()
 
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            now = loop.time()
-            for record in self._dispatcher.list_records():
-                if self._is_due(record, now):
-                    self._running.add(record.id)
-                    self._tasks.start(self._probe(record), name=f"probe-{record.id}")
+    async def _start_due(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for record in self._dispatcher.list_records():
+            if self._is_due(record, now):
+                self._running.add(record.id)
+                self._tasks.start(self._probe(record), name=f"probe-{record.id}")
 
     def _is_due(self, record: TargetRecord, now: float) -> bool:
         if record.id in self._running or record.target.is_draining:
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -114,7 +114,7 @@
         await self._ready
 
     def _closes_now(self) -> bool:
-        self.closes = self.closes or self._connection.is_closing_down()
+        self.closes = self.closes or self._connection.is_ending_with(self)
         return self.closes
 
     def _end(self) -> None:
@@ -174,10 +174,7 @@
         self._stop_header_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
-        for turn in self._turns:
-            if turn.task is not None:
-                turn.task.cancel()
-        self._turns.clear()
+        self._cancel_turns()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes and start a turn for each complete head."""
@@ -210,9 +207,12 @@
         """Return whether no request runs and nothing of a further one has arrived."""
         return not self._turns and not self._header_bytes
 
-    def is_closing_down(self) -> bool:
-        """Return whether the next answer is the last one of the connection."""
-        return self._is_stopping()
+    def is_ending_with(self, turn: Turn) -> bool:
+        """Return whether this answer is the last one of the connection.
+
+        A leaving server answers the requests that already run behind it first.
+        """
+        return self._is_stopping() and self._turns[-1] is turn
 
     def write(self, data: bytes) -> None:
         """Write bytes; raise ConnectionResetError when the caller has left."""
@@ -310,6 +310,7 @@
     def _end(self) -> None:
         self._is_ending = True
         self._stop_header_timer()
+        self._cancel_turns()
         transport = self.transport
         if transport is None or transport.is_closing():
             return
@@ -317,6 +318,13 @@
             transport.write_eof()
         self._loop.call_later(LINGER_S, self._close_transport)
 
+    def _cancel_turns(self) -> None:
+        """Cancel what runs for a caller who gets no further answer here."""
+        for turn in self._turns:
+            if turn.task is not None:
+                turn.task.cancel()
+        self._turns.clear()
+
     def _close_transport(self) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -223,3 +223,24 @@
             writer.close()
 
     asyncio.run(main())
+
+
+# Guards against a stop that cuts the pipelined requests behind the one it answers.
+def test_leaving_server_answers_all_pipelined_requests_before_it_closes():
+    async def handle(turn):
+        await asyncio.sleep(0.1 if turn.request.path == "/a" else 0.2)
+        await turn.send(Answer(200, body=turn.request.path.encode()))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/a") + build_request("/b"))
+            await asyncio.sleep(0.02)
+            server.leave()
+            first, second = await read_answer(reader), await read_answer(reader)
+            assert (first[1], second[1]) == (b"/a", b"/b")
+            assert "Connection: close" not in first[2]
+            assert "Connection: close" in second[2]
+            writer.close()
+
+    asyncio.run(main())
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -1,7 +1,7 @@
 """Ownership of background tasks."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -50,6 +50,18 @@
             log.error("task_failed", task=task.get_name(), error=repr(error))
 
 
+async def repeat(
+    step: Callable[[], Awaitable[object]], interval_s: float, *, name: str
+) -> None:
+    """Run a step again and again; one that fails is logged and does not end it."""
+    while True:
+        try:
+            await step()
+        except Exception as error:
+            log.error("step_failed", task=name, error=repr(error))
+        await asyncio.sleep(interval_s)
+
+
 async def cancel_and_wait(task: asyncio.Task[Any] | None) -> None:
     """Cancel a task, if there is one, and wait until it has ended."""
     if task is None:
