--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Run ``python -m soak --seeds 5``; it exits with 1 if a promise is broken."""
+"""Run ``python -m soak --seeds 5``; it exits with 1 if an invariant is broken."""
 
 import random
 import sys
@@ -24,7 +24,7 @@
         failed += bool(verdict.broken)
         result = "broken" if verdict.broken else "kept"
         print(
-            f"seed={number} promises={result} requests={verdict.requests} "
+            f"seed={number} invariants={result} requests={verdict.requests} "
             f"served={verdict.served} faults={len(verdict.faults)}",
             flush=True,
         )
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -1,4 +1,4 @@
-"""What callers, targets and operators saw, and the promises that it must keep."""
+"""What callers, targets and operators saw, and the invariants that it must keep."""
 
 import time
 
@@ -15,7 +15,7 @@
 
 @attrs.define
 class History:
-    """Collect events and name the promises that were broken."""
+    """Collect events and name the invariants that were broken."""
 
     key: str
     organisation: str
@@ -62,7 +62,7 @@
                 self.broken.append(f"{message} {sent_at - at:.1f} s before")
 
     def conclude(self):
-        """Return all broken promises."""
+        """Return all broken invariants."""
         broken = list(self.broken)
         for request_id in self.unsafe:
             count = self.runs.get(request_id, 0)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -48,7 +48,7 @@
 
 @attrs.frozen
 class Verdict:
-    """Hold the broken promises, the faults and the counts of one run."""
+    """Hold the broken invariants, the faults and the counts of one run."""
 
     seed: int
     broken: list
@@ -74,7 +74,7 @@
         self._is_over = False
 
     async def play(self):
-        """Return the verdict; the logs stay where promises were broken."""
+        """Return the verdict; the logs stay where invariants were broken."""
         try:
             self._fleet.start_all()
             await self._start_targets()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -26,7 +26,7 @@
     history.note_answer(request_id, reply, is_settled=False)
 
 
-def test_promises_are_kept_under_kills_stops_and_pauses():
+def test_invariants_are_kept_under_kills_stops_and_pauses():
     for seed in SEEDS:
         verdict = play_seed(seed, SECONDS)
         assert verdict.broken == []
--- a/toucanwood/gateway/_headers.py
+++ b/toucanwood/gateway/_headers.py
@@ -43,7 +43,7 @@
     # Proves that a response is the target's own.
     signature: str = ""
     answering_target: str = "Toucanwood-Answering-Target"
-    cold_left_ms: str = "Toucanwood-Cold-Ms"
+    cold_remaining_ms: str = "Toucanwood-Cold-Ms"
     object_cookie: str = "toucanwood-object"
 
     def read_request_id(self, headers: CIMultiDictProxy[str]) -> str:
@@ -79,7 +79,7 @@
 
     def read_cold_left(self, headers: CIMultiDictProxy[str]) -> float:
         """Return for how many seconds a target stays cold."""
-        value = headers.get(self.cold_left_ms, "").strip()
+        value = headers.get(self.cold_remaining_ms, "").strip()
         return int(value) / MS_PER_S if _DIGITS.fullmatch(value) else 0.0
 
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
