Serve counters and latency histograms at a metrics address

Cause: on the platform only the state dump told of failures; nothing was served at the metrics address, so a failed request could not be set against rates and latencies. Change: a package metrics (prometheus_client) with counters of requests by result, attempts by outcome, calls at controllers, a latency histogram and gauges that are read on request; both roles serve it, and the deploy file names it. Label values are bounded. Test: metrics/tests, and one that the deploy file and the adapter agree.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -32,6 +32,7 @@
     Target,
     pack_order,
 )
+from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaAccounts, Usage
 from toucanwood.routing import RoutingTable
@@ -60,6 +61,9 @@
     def __init__(self, settings: ControllerSettings) -> None:
         self.settings = settings
         self.state = FleetState()
+        self.metrics = MetricsRegistry()
+        self.metrics.add_gauges(self._read_gauges)
+        self.metrics_server = MetricsServer(self.metrics, settings.metrics)
         self.directory = Directory(settings.region_by_data_centre)
         self._heard = HeardTargets()
         self._accounts = QuotaAccounts()
@@ -94,12 +98,14 @@
         )
         for step, interval_s, name in steps:
             self._tasks.start(repeat(step, interval_s, name=name), name=name)
+        self.metrics_server.start()
         log.info("controller_started", id=self.settings.id)
 
     async def stop(self) -> None:
         """Hand over the leadership and stop every component."""
         await self.replica.stop()
         await self._tasks.stop()
+        await self.metrics_server.stop()
         await self.network.stop()
         log.info("controller_stopped", id=self.settings.id)
 
@@ -112,18 +118,16 @@
 
         A failure says whether the order may have been committed.
         """
-        data = pack_order(order)
-        if self.replica.is_leader():
-            return await self._propose(data, ORDER_TIMEOUT_S)
-        leader = self.replica.leader()
-        if leader is None or leader == self.settings.id:
-            return Failure(_refuse("no_leader", "no leader is known here"))
-        return await self._forward(leader, data)
+        result = await self._submit(pack_order(order))
+        self.metrics.count_event(type(order).__name__, _describe(result))
+        return result
 
     def read_routing(self) -> Result[tuple[int, dict[str, Any]], Verdict]:
         """Return the newest routing document and its revision, if provably newest."""
         age = self.replica.lease_age()
-        if age > READ_AGE_S:
+        is_proven = age <= READ_AGE_S
+        self.metrics.count_event("ReadRouting", "proven" if is_proven else "stale")
+        if not is_proven:
             message = f"the state here is proven only up to {age:.1f} s ago"
             return Failure(_refuse("state_stale", message))
         return Success((self.state.revision, self.state.document))
@@ -168,7 +172,9 @@
 
     def look_up(self, region: str, data_centre: str) -> list[str]:
         """Return the addresses of entries for a caller, the best first."""
-        return self.directory.look_up(region, data_centre, self._now())
+        addresses = self.directory.look_up(region, data_centre, self._now())
+        self.metrics.count_event("LookUp", "found" if addresses else "none")
+        return addresses
 
     def dump(self) -> dict[str, Any]:
         """Return the state of every component, without keys."""
@@ -185,6 +191,25 @@
             "network": self.network.dump(),
         }
 
+    async def _submit(self, data: bytes) -> Result[OrderResult, Verdict]:
+        if self.replica.is_leader():
+            return await self._propose(data, ORDER_TIMEOUT_S)
+        leader = self.replica.leader()
+        if leader is None or leader == self.settings.id:
+            return Failure(_refuse("no_leader", "no leader is known here"))
+        return await self._forward(leader, data)
+
+    def _read_gauges(self) -> dict[str, float]:
+        return {
+            "leading": float(self.replica.is_leader()),
+            "state_version": self.state.version,
+            "routing_revision": self.state.revision,
+            "state_age_seconds": self.replica.lease_age(),
+            "entries_known": len(self.directory.list_live(self._now())),
+            "targets_known": len(self.state.targets),
+            "controllers_known": len(self._controllers),
+        }
+
     def _register_handlers(self) -> None:
         register = self.network.register
         register(AnnounceEntry, self._receive_entry)
--- a/toucanwood/gateway/_handler.py
+++ b/toucanwood/gateway/_handler.py
@@ -10,20 +10,29 @@
 from toucanwood.gateway._forwarder import Forwarder
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.httpd import Turn, build_failure
+from toucanwood.metrics import MetricsRegistry
 from toucanwood.verdicts import Verdict
 
 log = structlog.get_logger()
 
 # Of the requests that went well at the first attempt, each of this number is logged.
 SAMPLE_EVERY = 32
+# The service of a request that matches no route in the metrics.
+NO_SERVICE = "none"
 
 
 class RequestHandler:
     """Admit, place and answer each request of a caller."""
 
     def __init__(
-        self, *, admission: Admission, forwarder: Forwarder, names: HeaderNames
+        self,
+        *,
+        admission: Admission,
+        forwarder: Forwarder,
+        names: HeaderNames,
+        metrics: MetricsRegistry,
     ) -> None:
+        self._metrics = metrics
         self._admission = admission
         self._forwarder = forwarder
         self._names = names
@@ -55,11 +64,23 @@
         """Return whether a request that went well is logged."""
         return sum(self.counts.values()) % SAMPLE_EVERY == 0
 
+    def _measure(
+        self, turn: Turn, context: RequestContext | None, code: str, seconds: float
+    ) -> None:
+        service = context.service if context is not None else NO_SERVICE
+        self._metrics.count_request(
+            service=service, code=code, status=turn.status, seconds=seconds
+        )
+        if context is not None:
+            for attempt in context.attempts:
+                self._metrics.count_attempt(service=service, outcome=attempt.outcome)
+
     def _record(
         self, turn: Turn, context: RequestContext | None, code: str, now: float
     ) -> None:
         self.counts[code] = self.counts.get(code, 0) + 1
         request = turn.request
+        self._measure(turn, context, code, now - request.arrived_at)
         is_failed = code != "answered" or turn.status >= 500
         is_repeated = context is not None and len(context.attempts) > 1
         if not (is_failed or is_repeated or self._samples()):
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -17,6 +17,7 @@
 from toucanwood.gateway._prober import Prober
 from toucanwood.gateway._settings import GatewaySettings
 from toucanwood.httpd import Answer, HttpServer, Turn
+from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork
 from toucanwood.placement import RegionShare, RetryBudget
 from toucanwood.quota import QuotaGate
@@ -48,6 +49,8 @@
         self.settings = settings
         self.names = names if names is not None else HeaderNames()
         self.view = FleetView()
+        self.metrics = MetricsRegistry()
+        self.metrics.add_gauges(self._read_gauges)
         self.quota = QuotaGate()
         self._budgets: dict[str, RetryBudget] = {}
         self._is_leaving = False
@@ -65,6 +68,7 @@
         await self.network.start()
         self.server.start(self.settings.listen)
         self.ready_server.start(self.settings.ready)
+        self.metrics_server.start()
         self.feed.start()
         self.prober.start()
         log.info("gateway_started", id=self.settings.id, address=self.settings.listen)
@@ -87,6 +91,7 @@
         left = self.server.count_busy()
         await self.server.stop()
         await self.ready_server.stop()
+        await self.metrics_server.stop()
         await self.prober.stop()
         await self.feed.stop()
         self.client.close()
@@ -155,7 +160,10 @@
             is_refusing=lambda: self._is_refusing,
         )
         self.handler = RequestHandler(
-            admission=admission, forwarder=forwarder, names=self.names
+            admission=admission,
+            forwarder=forwarder,
+            names=self.names,
+            metrics=self.metrics,
         )
 
     def _build_feed(self) -> None:
@@ -173,6 +181,22 @@
     def _build_servers(self) -> None:
         self.server = HttpServer(self.handler.handle, limits=self._find_limits)
         self.ready_server = HttpServer(self._answer_ready)
+        self.metrics_server = MetricsServer(self.metrics, self.settings.metrics)
+
+    def _read_gauges(self) -> dict[str, float]:
+        now = asyncio.get_running_loop().time()
+        records = self.dispatcher.list_records()
+        return {
+            "ready": float(self.is_ready()),
+            "state_version": self.view.version,
+            "routing_revision": self.view.revision,
+            "state_age_seconds": self.feed.measure_age(now),
+            "entries_known": len(self.feed.entries),
+            "targets_known": len(records),
+            "targets_ejected": sum(item.health.is_ejected for item in records),
+            "requests_at_targets": sum(item.in_flight for item in records),
+            "connections_open": len(self.server.connections),
+        }
 
     def _describe(self) -> AnnounceEntry:
         return AnnounceEntry(
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -29,6 +29,8 @@
     retry_window_s: float = 10.0
     shift_fraction: float = 1.0
     shift_window_s: float = 2.0
+    # Where the metrics are read, as `ip:port`; None serves none.
+    metrics: str | None = None
 
     @classmethod
     def from_config(cls, mapping: Mapping[str, Any]) -> "GatewaySettings":
@@ -39,6 +41,7 @@
             name: reader.read(name, str)
             for name in ("id", "data_centre", "region", "listen", "ready", "peer")
         }
+        values["metrics"] = reader.read("metrics", str, None)
         values["ready_path"] = reader.read("ready_path", str, "/ready")
         values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
         values["controllers"] = tuple(reader.read("controllers", list) or ())
--- /dev/null
+++ b/toucanwood/metrics/__init__.py
@@ -0,0 +1,6 @@
+"""Counters, gauges and latency histograms, served as text over HTTP."""
+
+from toucanwood.metrics._registry import LATENCY_BUCKETS_S, MetricsRegistry
+from toucanwood.metrics._server import METRICS_PATH, MetricsServer
+
+__all__ = ["LATENCY_BUCKETS_S", "METRICS_PATH", "MetricsRegistry", "MetricsServer"]
