Plan large responses on an entry's slow link, and order them by their objective

A target sends up to 80 KB before the entry reads (measured by pausing a reader), which is the whole response mostly, so several of them fill the 2.75 Mbit/s link and all small responses wait. Ruled out: load at targets (no slower at 12 requests than at 1), objects that a target has lost (no slower after 20 other objects or 6 s), SO_RCVBUF (a trial changed nothing; the platform does not follow it). Change: LinkSchedule asks for large responses one after the other; StreamPacer serves the response first that is due first; a place at a target is given back when its work has ended, not when the caller has read it all.

--- a/toucanwood/gateway/_context.py
+++ b/toucanwood/gateway/_context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from toucanwood.httpd import CallerRequest
+from toucanwood.placement import Transfer
 from toucanwood.routing import Organisation, Route
 from toucanwood.verdicts import Verdict
 
@@ -63,6 +64,8 @@
     may_have_run: bool = False
     excluded: set[str] = attrs.field(factory=set)
     first_ends_at: float | None = None
+    # The planned use of the link by a large response.
+    transfer: Transfer | None = None
     notes: dict[str, Any] = attrs.field(factory=dict)
 
     @property
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -98,13 +98,17 @@
             now=now,
         )
         if is_ejected:
-            log.info(
-                "target_ejected",
-                target=lease.record.id,
-                outcome=outcome.value,
-                success_rate=round(lease.record.health.success_rate, 2),
-            )
-            self._on_ejected(lease.record)
+            self._eject(lease, outcome)
+
+    def note_broken(self, lease: Lease) -> None:
+        """Count a response that broke off after its place was given back."""
+        now = asyncio.get_running_loop().time()
+        if lease.record.health.record(Outcome.BROKEN, now):
+            self._eject(lease, Outcome.BROKEN)
+
+    def estimate_work(self, need: Need) -> float:
+        """Return for how long a target usually works on such a request."""
+        return self._find_pool(need.service).find_times(need).get_warm()
 
     def update(self, view: FleetView, entries: frozenset[str]) -> None:
         """Take over the targets, evacuations and entries of the fleet."""
@@ -137,6 +141,15 @@
         now = asyncio.get_running_loop().time()
         return {name: pool.dump(now) for name, pool in self._pools.items()}
 
+    def _eject(self, lease: Lease, outcome: Outcome) -> None:
+        log.info(
+            "target_ejected",
+            target=lease.record.id,
+            outcome=outcome.value,
+            success_rate=round(lease.record.health.success_rate, 2),
+        )
+        self._on_ejected(lease.record)
+
     def _weigh_targets(self, pool: ServicePool) -> dict[str, float]:
         """Return the targets that may get objects, with their weights."""
         return {
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -13,7 +13,14 @@
 from toucanwood.gateway._headers import HeaderNames, drop_hop_by_hop
 from toucanwood.gateway._pacing import PIECE_BYTES, StreamPacer
 from toucanwood.httpd import Answer, Turn
-from toucanwood.placement import LoadReport, Need, Outcome, Refused, RetryBudget
+from toucanwood.placement import (
+    LinkSchedule,
+    LoadReport,
+    Need,
+    Outcome,
+    Refused,
+    RetryBudget,
+)
 from toucanwood.quota import QuotaGate
 from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
 from toucanwood.verdicts import Verdict, doubt, refuse
@@ -50,7 +57,7 @@
     outcome: Outcome = Outcome.CANCELLED
     report: LoadReport | None = None
     is_complete: bool = False
-    is_finished: bool = False
+    is_released: bool = False
 
 
 class Forwarder:
@@ -66,8 +73,10 @@
         find_budget: Callable[[str], RetryBudget],
         hold_bytes: int,
         pacer: StreamPacer,
+        schedule: LinkSchedule,
     ) -> None:
         self._pacer = pacer
+        self._schedule = schedule
         self._dispatcher = dispatcher
         self._client = client
         self._names = names
@@ -89,6 +98,35 @@
             raise Refusal(_describe_timeout(context)) from None
 
     async def _try_targets(self, context: RequestContext, turn: Turn) -> None:
+        if not self._schedule.is_large(context.route.name):
+            await self._try_each(context, turn)
+            return
+        need = self._build_need(context)
+        work_s = self._dispatcher.estimate_work(need)
+        now = asyncio.get_running_loop().time()
+        context.transfer = self._schedule.reserve(context.route.name, work_s, now)
+        try:
+            await self._wait_for_link(context, work_s, now)
+            await self._try_each(context, turn)
+        finally:
+            self._schedule.settle(context.transfer, None)
+
+    async def _wait_for_link(
+        self, context: RequestContext, work_s: float, now: float
+    ) -> None:
+        """Wait until the response will find the link free, or refuse the request."""
+        assert context.transfer is not None
+        wait_s = context.transfer.starts_at - work_s - now
+        if context.transfer.starts_at >= context.deadline_at:
+            message = "the link has no room for the response before the deadline"
+            raise Refusal(
+                refuse("link_full", message, status=503, retry_after=wait_s / 2)
+            )
+        if wait_s > 0:
+            context.notes["link_wait_ms"] = round(wait_s * 1000)
+            await asyncio.sleep(wait_s)
+
+    async def _try_each(self, context: RequestContext, turn: Turn) -> None:
         failure: Verdict | None = None
         for _ in range(MAX_CONNECTS):
             lease = self._acquire(context, failure)
@@ -165,26 +203,28 @@
             if exchange.is_whole:
                 # The target is free before a slow caller has read the answer.
                 end.is_complete = True
-                self._finish(context, lease, exchange, end)
+                self._release(context, lease, end)
+                exchange.close(is_complete=True)
                 await turn.send(self._build_answer(exchange))
                 return None
-            judged, end.outcome = end.outcome, Outcome.CANCELLED
+            # The target has ended its work, though the response is still on its way.
+            self._release(context, lease, end)
             end.is_complete = await self._stream(context, exchange, turn)
-            end.outcome = judged if end.is_complete else Outcome.BROKEN
+            if not end.is_complete:
+                self._dispatcher.note_broken(lease)
+                context.attempts[-1].outcome = Outcome.BROKEN.value
             return None
         finally:
-            self._finish(context, lease, exchange, end)
+            self._release(context, lease, end)
+            exchange.close(is_complete=end.is_complete)
 
-    def _finish(
-        self, context: RequestContext, lease: Lease, exchange: Exchange, end: "_End"
-    ) -> None:
-        """Give back the connection and the place; only the first call counts."""
-        if end.is_finished:
+    def _release(self, context: RequestContext, lease: Lease, end: "_End") -> None:
+        """Give back the place at the target; only the first call counts."""
+        if end.is_released:
             return
-        end.is_finished = True
+        end.is_released = True
         if end.outcome is Outcome.CANCELLED and _is_late(context):
             end.outcome = Outcome.TIMED_OUT
-        exchange.close(is_complete=end.is_complete)
         self._dispatcher.release(lease, end.outcome, end.report)
         note = context.attempts[-1]
         note.outcome = end.outcome.value
@@ -290,23 +330,31 @@
         """Stream a response; return whether the caller got the whole of it."""
         message = exchange.message
         headers = drop_hop_by_hop(message.headers.items())
-        await turn.start(message.code, message.reason, headers, exchange.get_length())
+        size = len(exchange.held)
+        length = exchange.get_length()
+        if length is not None and context.transfer is not None:
+            self._schedule.settle(context.transfer, int(length))
+        await turn.start(message.code, message.reason, headers, length)
         chunk, exchange.held = exchange.held, b""
         try:
             while chunk:
-                await self._write_paced(turn, chunk)
+                await self._write_paced(turn, chunk, context.objective_at)
                 chunk = await exchange.read_chunk()
+                size += len(chunk)
         except TargetError as error:
             context.notes["end"] = f"cut: {error}"
             turn.abort()
             return False
         turn.finish()
+        self._schedule.record_size(context.route.name, size)
+        if context.transfer is not None:
+            self._schedule.settle(context.transfer, size)
         return True
 
-    async def _write_paced(self, turn: Turn, chunk: bytes) -> None:
+    async def _write_paced(self, turn: Turn, chunk: bytes, due_at: float) -> None:
         for start in range(0, len(chunk), PIECE_BYTES):
             piece = chunk[start : start + PIECE_BYTES]
-            await self._pacer.take(len(piece))
+            await self._pacer.take(len(piece), due_at)
             await turn.write(piece)
 
     def _settle(self, context: RequestContext, verdict: Verdict) -> Verdict:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -19,7 +19,7 @@
 from toucanwood.httpd import Answer, HttpServer, Turn
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork
-from toucanwood.placement import RegionShare, RetryBudget
+from toucanwood.placement import LinkSchedule, RegionShare, RetryBudget
 from toucanwood.quota import QuotaGate
 from toucanwood.routing import CallerLimits
 from toucanwood.upstream import TargetClient
@@ -152,6 +152,7 @@
             find_budget=self._find_budget,
             hold_bytes=min(max(hold, MIN_HOLD_BYTES), MAX_HOLD_BYTES),
             pacer=StreamPacer.from_link(settings.link_bytes_per_s),
+            schedule=LinkSchedule(settings.link_bytes_per_s),
         )
         admission = Admission(
             view=self.view,
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -7,6 +7,7 @@
 from toucanwood.placement._budget import RetryBudget
 from toucanwood.placement._cold import ColdStartGate
 from toucanwood.placement._health import Health, Outcome
+from toucanwood.placement._link import LinkSchedule, Transfer
 from toucanwood.placement._need import Need
 from toucanwood.placement._pool import Placed, Refused, ServicePool
 from toucanwood.placement._record import LoadReport, TargetRecord
@@ -20,6 +21,7 @@
     "ColdStartGate",
     "Health",
     "KindTimes",
+    "LinkSchedule",
     "LoadReport",
     "Need",
     "Outcome",
@@ -30,4 +32,5 @@
     "Selection",
     "ServicePool",
     "TargetRecord",
+    "Transfer",
 ]
