Harm links and disks in the fault soak

Cause: the soak only sent signals; connections that go silent, one-way cuts, resets, lost disks and torn writes were not played. Change: a loopback proxy before each entry, target and control address, disk faults of controllers.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -46,6 +46,7 @@
 machines = 1
 [bounds]
 grace_s = {grace}
+config_apply_ms = 2000
 retry_ratio = 0.2
 retry_slack = 56
 retry_window_s = 10
@@ -80,6 +81,15 @@
     def find_front(self, name):
         return f"{self.find_ip(name)}:{self.port + 1}"
 
+    def find_target(self, number):
+        return f"127.0.30.{number}:{self.port + 5}"
+
+    def find_link(self, address):
+        """Return the address of the proxy before an address."""
+        host, _, port = address.rpartition(":")
+        first, second, third, last = host.split(".")
+        return f"{first}.{second}.{int(third) + 100}.{last}:{port}"
+
     def start_all(self):
         for name in (*self.controllers, *self.fronts):
             self.start(name)
@@ -111,8 +121,20 @@
         self.processes[name].send_signal(signal.SIGCONT)
 
     def wipe(self, name):
+        """Lose the disk of a process that has ended."""
         shutil.rmtree(f"{self.folder}/{name}", ignore_errors=True)
 
+    def tear(self, name, data):
+        """Leave a torn write at the end of the newest file on a disk."""
+        files = [
+            path
+            for path in pathlib.Path(self.folder, name).rglob("*")
+            if path.is_file()
+        ]
+        if files:
+            with max(files, key=lambda path: path.stat().st_mtime).open("ab") as file:
+                file.write(data)
+
     def stop_all(self):
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,6 +12,7 @@
 from soak._fleet import Fleet
 from soak._history import History
 from soak._http import send, send_json
+from soak._proxy import Harm, Proxy
 from soak._targets import Target
 
 KEY = "key-of-the-soak"
@@ -19,6 +20,9 @@
 TARGETS = 5
 CALLERS = 6
 CALLER_PAUSE_S = 0.03
+# Faults of links among all faults; the others strike processes and disks.
+LINK_PART = 0.4
+DISK_FAULTS = ("lose_disk", "tear_write")
 START_TIMEOUT_S = 20.0
 # Faults end, and this time is given to recover before the last requests are counted.
 RECOVERY_S = 8.0
@@ -67,6 +71,8 @@
         self._fleet = Fleet()
         self._history = History(KEY, ORGANISATION)
         self._targets = []
+        self._proxies = {}
+        self._has_lost_disk = False
         self._faults = []
         self._ids = itertools.count(1)
         self._revision = 0
@@ -77,6 +83,7 @@
         """Return the verdict; the logs stay where invariants were broken."""
         try:
             self._fleet.start_all()
+            await self._start_proxies()
             await self._start_targets()
             await self._configure()
             await self._wait_served()
@@ -86,6 +93,8 @@
         finally:
             for target in self._targets:
                 await target.stop()
+            for proxy in self._proxies.values():
+                await proxy.stop()
             self._fleet.stop_all()
         broken = self._history.conclude()
         if broken:
@@ -98,10 +107,27 @@
             self._seed, broken, self._faults, len(self._history.answers), served
         )
 
+    async def _start_proxies(self):
+        fleet = self._fleet
+        ends = {f"target-{n}": fleet.find_target(n) for n in range(1, TARGETS + 1)}
+        ends |= {name: fleet.find_front(name) for name in fleet.fronts}
+        ends |= {name: fleet.find_control(name) for name in fleet.controllers}
+        for name, address in ends.items():
+            proxy = Proxy(fleet.find_link(address), address)
+            await proxy.start()
+            self._proxies[name] = proxy
+
     async def _start_targets(self):
         for number in range(1, TARGETS + 1):
-            address = f"127.0.30.{number}:{self._fleet.port + 5}"
-            target = Target(number, address, self._fleet, self._draw, self._history)
+            address = self._fleet.find_target(number)
+            target = Target(
+                number,
+                address,
+                self._fleet.find_link(address),
+                self._fleet,
+                self._draw,
+                self._history,
+            )
             await target.start()
             self._targets.append(target)
 
@@ -117,7 +143,7 @@
         revision = self._revision + self._draw.randint(1, 3)
         config = {**CONFIG, "version": f"r{revision}"}
         name = self._draw.choice(self._fleet.controllers)
-        address = self._fleet.find_control(name)
+        address = self._find_control(name)
         for _ in range(3):
             reply = await send_json(
                 address,
@@ -130,9 +156,7 @@
                 self._revision = revision
                 self._history.note_acknowledged(revision)
                 return True
-            address = self._fleet.find_control(
-                self._draw.choice(self._fleet.controllers)
-            )
+            address = self._find_control(self._draw.choice(self._fleet.controllers))
         await self._read()
         return False
 
@@ -140,7 +164,7 @@
         """Read the configuration at any controller and go on from there."""
         name = self._draw.choice(self._fleet.controllers)
         sent_at = time.monotonic()
-        address = self._fleet.find_control(name)
+        address = self._find_control(name)
         reply = await send_json(address, "GET", "/toucanwood/config")
         if reply is None or reply.status != 200:
             return
@@ -148,6 +172,9 @@
         self._history.note_read(sent_at, revision)
         self._revision = max(self._revision, revision)
 
+    def _find_control(self, name):
+        return self._fleet.find_link(self._fleet.find_control(name))
+
     async def _wait_served(self):
         deadline = time.monotonic() + START_TIMEOUT_S
         for name in self._fleet.fronts:
@@ -163,7 +190,7 @@
             self._history.unsafe.add(request_id)
         is_settled = self._is_settled
         reply = await send(
-            self._fleet.find_front(name),
+            self._fleet.find_link(self._fleet.find_front(name)),
             "POST" if is_unsafe else "GET",
             f"/{kind}/x",
             headers={
@@ -187,6 +214,8 @@
         for name in (*self._fleet.controllers, *self._fleet.fronts):
             if name not in self._fleet.processes:
                 self._fleet.start(name)
+        for proxy in self._proxies.values():
+            proxy.set_harm(Harm.NONE)
         await asyncio.sleep(RECOVERY_S)
         self._is_settled = True
         await asyncio.sleep(SETTLED_S)
@@ -215,15 +244,46 @@
         """Let one fault follow the other; two such series overlap."""
         while not self._is_over:
             await asyncio.sleep(self._draw.uniform(0.2, 1.5))
+            if self._draw.random() < LINK_PART:
+                await self._harm_link()
+                continue
             names = [*self._fleet.controllers, *self._fleet.fronts]
             name = self._draw.choice(names)
             if name not in self._fleet.processes:
                 continue
-            kind = self._draw.choice(["kill", "terminate", "pause"])
+            kind = self._draw.choice(["kill", "terminate", "pause", *DISK_FAULTS])
+            if kind in DISK_FAULTS and not self._may_harm_disk(kind, name):
+                continue
             self._faults.append(f"{kind} {name}")
             with contextlib.suppress(KeyError):
                 await self._strike(kind, name)
 
+    async def _harm_link(self):
+        name = self._draw.choice(sorted(self._proxies))
+        proxy = self._proxies[name]
+        kind = self._draw.choice(["reset", Harm.DELAY, Harm.SILENCE, Harm.ONE_WAY])
+        self._faults.append(f"{kind} link of {name}")
+        if kind == "reset":
+            proxy.reset()
+            return
+        proxy.set_harm(kind)
+        await asyncio.sleep(self._draw.uniform(0.2, 2.5))
+        proxy.set_harm(Harm.NONE)
+
+    def _may_harm_disk(self, kind, name):
+        """Return whether a fault of a disk is within what the fleet must bear.
+
+        One of three disks may be lost, and the second one only after the group has
+        repaired the first, which this run does not wait for.
+        """
+        if name not in self._fleet.controllers:
+            return False
+        if kind == "lose_disk":
+            if self._has_lost_disk:
+                return False
+            self._has_lost_disk = True
+        return True
+
     async def _strike(self, kind, name):
         lasts = self._draw.uniform(0.2, 2.5)
         if kind == "pause":
@@ -233,10 +293,14 @@
             if self._fleet.processes.get(name) is process:
                 self._fleet.resume(name)
             return
-        end = self._fleet.kill if kind == "kill" else self._fleet.terminate
+        end = self._fleet.terminate if kind == "terminate" else self._fleet.kill
         with contextlib.suppress(KeyError):
             self._fleet.resume(name)
         await asyncio.to_thread(end, name)
+        if kind == "lose_disk":
+            self._fleet.wipe(name)
+        elif kind == "tear_write":
+            self._fleet.tear(name, self._draw.randbytes(self._draw.randint(1, 40)))
         await asyncio.sleep(lasts)
         if name not in self._fleet.processes:
             self._fleet.start(name)
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -17,7 +17,9 @@
 class Target:
     """Run requests, lose some answers, shed some, and announce itself."""
 
-    def __init__(self, number, address, fleet, draw, history):
+    def __init__(self, number, address, announced, fleet, draw, history):
+        # Callers of the target come through a proxy at the announced address.
+        self._announced = announced
         self.id = f"i-{number}"
         self.address = address
         self.born = time.time_ns() // 1_000_000
@@ -46,7 +48,7 @@
         self._sequence += 1
         body = {
             "service": "s",
-            "address": self.address,
+            "address": self._announced,
             "zone": "a",
             "version": "v1",
             "concurrency": SLOTS,
@@ -58,7 +60,7 @@
         names = list(self._fleet.controllers)
         self._draw.shuffle(names)
         for name in names:
-            address = self._fleet.find_control(name)
+            address = self._fleet.find_link(self._fleet.find_control(name))
             path = f"/toucanwood/instances/{self.id}"
             reply = await send_json(address, "PUT", path, body)
             if reply is not None and reply.status == 200:
