Relay large responses through controllers, and deliver answers that are ready

Change: a controller of the entry's data centre, on its fast link, takes the response in and writes it to the entry in pieces at 0.7 of the entry's link, the one that is due first first. Relays connect to known targets only; a relay that fails is left alone for 3 s and the entry goes directly; a cut response is reset, so it never looks whole. Ruled out before: SO_RCVBUF, slow reading (docs/decisions/links.md). Ready answers. Change: an answer that is complete leaves the time-out, so it is delivered in its turn. 3. The plan is ahead when a response comes early; a first size is assumed for downloads.

Tests: relay/tests, gateway/tests/test_outcomes (relay and fallback, ready answer; the latter fails with the answer sent inside the time-out), controller/tests (relays of a data centre), placement/tests/test_link.

--- a/toucanwood/controller/_directory.py
+++ b/toucanwood/controller/_directory.py
@@ -87,6 +87,11 @@
         omitted = {entry.id for entry in left_out[: len(entries) // 2]}
         return [entry for entry in entries if entry.id not in omitted]
 
+    def find_data_centre(self, entry_id: str) -> str | None:
+        """Return where an entry is, if it has announced itself."""
+        entry = self._entries.get(entry_id)
+        return entry.data_centre if entry is not None else None
+
     def expire(self, now: float) -> None:
         """Forget the entries that have been silent for long."""
         oldest = now - 20 * ENTRY_TIMEOUT_S
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -35,6 +35,7 @@
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaAccounts, Usage
+from toucanwood.relay import RelayServer
 from toucanwood.routing import RoutingTable
 from toucanwood.utils import TaskGroup, ValidationError, repeat
 from toucanwood.verdicts import Execution, Verdict, doubt, refuse
@@ -66,12 +67,14 @@
         self.state = FleetState()
         self.metrics = MetricsRegistry()
         self.metrics.add_gauges(self._read_gauges)
+        self.relay = RelayServer(self._is_target_address)
         self.metrics_server = MetricsServer(self.metrics, settings.metrics)
         self.directory = Directory(settings.region_by_data_centre)
         self._heard = HeardTargets()
         self._accounts = QuotaAccounts()
         self._tasks = TaskGroup()
         self._controllers: dict[str, float] = {}
+        self._places: dict[str, str] = {settings.id: settings.data_centre}
         self._led_since: float | None = None
         self._entries: tuple[list[str], int] = ([], 0)
         self._entries_at = float("-inf")
@@ -104,12 +107,15 @@
         for step, interval_s, name in steps:
             self._tasks.start(repeat(step, interval_s, name=name), name=name)
         self.metrics_server.start()
+        if self.settings.relay_port is not None:
+            await self.relay.start(f"{self.settings.id}:{self.settings.relay_port}")
         log.info("controller_started", id=self.settings.id)
 
     async def stop(self) -> None:
         """Hand over the leadership and stop every component."""
         await self.replica.stop()
         await self._tasks.stop()
+        await self.relay.stop()
         await self.metrics_server.stop()
         await self.network.stop()
         log.info("controller_stopped", id=self.settings.id)
@@ -212,6 +218,7 @@
             "state_age_seconds": self.replica.lease_age(),
             "entries_known": len(self.directory.list_live(self._now())),
             "targets_known": len(self.state.targets),
+            "relayed_connections": self.relay.count,
             "controllers_known": len(self._controllers),
         }
 
@@ -245,6 +252,7 @@
             state=state,
             leader=self.replica.leader() or "",
             controllers=sorted(self._controllers),
+            relays=self._list_relays(self.directory.find_data_centre(sender)),
             entries=None if mark == request.entries_mark else entries,
             entries_mark=mark,
         )
@@ -283,6 +291,7 @@
         now = self._now()
         self._note_controller(sender)
         self._controllers[sender] = now
+        self._places[sender] = request.data_centre
         for controller in request.controllers:
             self._note_controller(controller)
         self._heard.note_shared(request.heard, now)
@@ -322,6 +331,7 @@
             controllers=sorted(self._controllers),
             heard=self._heard.take_unshared(),
             is_member=self.replica.is_member,
+            data_centre=self.settings.data_centre,
         )
         for controller in list(self._controllers):
             if controller != self.settings.id:
@@ -356,6 +366,16 @@
         oldest = self._now() - CONTROLLER_TIMEOUT_S
         return [key for key, at in self._controllers.items() if at > oldest]
 
+    def _list_relays(self, data_centre: str | None) -> list[str]:
+        """Return the live controllers of a data centre."""
+        if data_centre is None or self.settings.relay_port is None:
+            return []
+        live = [self.settings.id, *self._list_live_controllers()]
+        return [item for item in live if self._places.get(item) == data_centre]
+
+    def _is_target_address(self, address: str) -> bool:
+        return any(item.address == address for item in self.state.targets.values())
+
     def _find_table(self) -> RoutingTable | None:
         """Return the routing table of the current revision."""
         revision = self.state.revision
--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -52,6 +52,8 @@
     state: bytes | None = None
     leader: str = ""
     controllers: list[str] = attrs.field(factory=list)
+    # Controllers in the data centre of the entry, which relay large responses.
+    relays: list[str] = attrs.field(factory=list)
     # Missing where the list has not changed.
     entries: list[str] | None = None
     entries_mark: int = 0
@@ -85,6 +87,7 @@
     controllers: list[str] = attrs.field(factory=list)
     heard: list[list[Any]] = attrs.field(factory=list)
     is_member: bool = False
+    data_centre: str = ""
 
 
 @message(106)
--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -28,6 +28,8 @@
     region_by_data_centre: Mapping[str, str]
     data_dir: str
     lookup_ttl_s: float = 2.0
+    # The port on which large responses are relayed; None relays none.
+    relay_port: int | None = None
     # Where the metrics are read, as `ip:port`; None serves none.
     metrics: str | None = None
 
@@ -39,6 +41,9 @@
         names = ("id", "data_centre", "region", "control", "directory", "peer")
         values: dict[str, Any] = {name: reader.read(name, str) for name in names}
         values["data_dir"] = reader.read("data_dir", str)
+        values["relay_port"] = reader.read_number(
+            "relay_port", None, low=1, integer=True
+        )
         values["metrics"] = reader.read("metrics", str, None)
         values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
         for name in ("controllers", "founders"):
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -5,6 +5,7 @@
 import attrs
 from returns.result import Failure, Success
 
+from toucanwood.controller import AnnounceEntry
 from toucanwood.controller._group import choose_voter_count
 from toucanwood.controller.tests.world import DOCUMENT, TARGET, play, wait_for
 from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation, TargetState
@@ -156,3 +157,26 @@
         await wait_for(lambda: first.state.targets["t-1"].cold_left_s == 2.0)
 
     play(scenario)
+
+
+# Guards against large responses that cross to another data centre to be relayed, or go
+# to a controller which has died.
+def test_entry_learns_of_the_live_relays_of_its_data_centre():
+    async def scenario(controllers):
+        port = controllers.port + 1
+        for number, place in ((1, "a"), (2, "a"), (3, "b")):
+            await controllers.start(number, data_centre=place, relay_port=port)
+        first = controllers.running[1]
+        announcement = AnnounceEntry("127.0.0.9:80", "north", "a", True)
+        await first._receive_entry("127.0.0.9", announcement)
+
+        def list_relays():
+            place = first.directory.find_data_centre("127.0.0.9")
+            return sorted(first._list_relays(place))
+
+        both = [controllers.name(1), controllers.name(2)]
+        await wait_for(lambda: list_relays() == both)
+        await controllers.kill(2)
+        await wait_for(lambda: list_relays() == [controllers.name(1)])
+
+    play(scenario)
--- a/toucanwood/controller/tests/world.py
+++ b/toucanwood/controller/tests/world.py
@@ -42,7 +42,7 @@
     port: int
     running: dict = attrs.field(factory=dict)
 
-    async def start(self, number, *, founders=(1, 2, 3), seeds=(1, 2, 3)):
+    async def start(self, number, *, founders=(1, 2, 3), seeds=(1, 2, 3), **changed):
         name = self.name(number)
         settings = ControllerSettings.from_config(
             {
@@ -57,6 +57,7 @@
                 "founders": [self.name(item) for item in founders],
                 "region_by_data_centre": {"a": "north"},
                 "data_dir": f"{self.folder}/{name}",
+                **changed,
             }
         )
         controller = ControllerInstance(settings)
--- a/toucanwood/gateway/_context.py
+++ b/toucanwood/gateway/_context.py
@@ -6,6 +6,7 @@
 
 from toucanwood.httpd import CallerRequest
 from toucanwood.placement import Transfer
+from toucanwood.relay import RelayRoute
 from toucanwood.routing import Organisation, Route
 from toucanwood.verdicts import Verdict
 
@@ -67,6 +68,8 @@
     # The planned use of the link by a large response.
     transfer: Transfer | None = None
     holds_ask: bool = False
+    # Set where a relay takes the response in.
+    relays: RelayRoute | None = None
     notes: dict[str, Any] = attrs.field(factory=dict)
 
     @property
--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from toucanwood.gateway._headers import HeaderNames
+from toucanwood.relay import RelayRoute
 from toucanwood.upstream import Progress, TargetClient, TargetConnection, TargetError
 
 # A response with another request's id is a late or second one; the own response may
@@ -50,10 +51,22 @@
         self._may_keep = False
         self._is_closed = False
 
-    async def open(self, address: str, *, reuse: bool) -> None:
-        """Connect to a target; only with `reuse` the connection is kept afterwards."""
-        self._may_keep = reuse
-        opening = self._client.open(address, reuse=reuse, progress=self.progress)
+    async def open(
+        self,
+        address: str,
+        *,
+        reuse: bool,
+        route: RelayRoute | None = None,
+        due_s: float = 0.0,
+    ) -> None:
+        """Connect to a target; only with `reuse` the connection is kept afterwards.
+
+        With a `route` a relay takes the response in, which is due in `due_s` seconds.
+        """
+        self._may_keep = reuse and route is None
+        opening = self._client.open(
+            address, reuse=reuse, progress=self.progress, route=route, due_s=due_s
+        )
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 self._connection = await opening
--- a/toucanwood/gateway/_feed.py
+++ b/toucanwood/gateway/_feed.py
@@ -46,6 +46,7 @@
         quota: QuotaGate,
         describe: Callable[[], AnnounceEntry],
         on_update: Callable[[], None],
+        on_relays: Callable[[list[str]], None],
         peer_port: int,
         controllers: tuple[str, ...],
     ) -> None:
@@ -54,6 +55,7 @@
         self._quota = quota
         self._describe = describe
         self._on_update = on_update
+        self._on_relays = on_relays
         self._peer_port = peer_port
         self._tasks = TaskGroup()
         self._controllers: list[str] = []
@@ -136,6 +138,7 @@
             return False
         self._add_controllers(update.controllers)
         self._leader = update.leader or self._leader
+        self._on_relays(update.relays)
         is_proven = 0 <= update.age_s <= MAX_STATE_AGE_S
         waited = sent_at - self._started_at > FIRST_STATE_WAIT_S
         if not (is_proven or (self._view.table is None and waited)):
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -12,7 +12,6 @@
 from toucanwood.gateway._exchange import ConnectTimeout, Exchange
 from toucanwood.gateway._headers import HeaderNames, drop_hop_by_hop
 from toucanwood.gateway._load import LoadMeter
-from toucanwood.gateway._pacing import PIECE_BYTES, StreamPacer
 from toucanwood.httpd import Answer, Turn
 from toucanwood.placement import (
     LinkSchedule,
@@ -23,6 +22,8 @@
     RetryBudget,
 )
 from toucanwood.quota import QuotaGate
+from toucanwood.relay import PIECE_BYTES, RelayRoute, StreamPacer
+from toucanwood.routing import Route, RouteKind
 from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
 from toucanwood.verdicts import Verdict, doubt, refuse
 
@@ -80,7 +81,9 @@
         schedule: LinkSchedule,
         load: LoadMeter,
         connect_timeout_s: float,
+        relays: RelayRoute,
     ) -> None:
+        self._relays = relays
         self._connect_timeout_s = connect_timeout_s
         self._asks = asyncio.Semaphore(MAX_LARGE_ASKED)
         self._load = load
@@ -96,30 +99,38 @@
     async def serve(self, context: RequestContext, turn: Turn) -> None:
         """Answer the request; raise Refusal where no target did."""
         deadline = context.deadline_at + TIMEOUT_MARGIN_S
+        answer: Answer | None = None
         try:
             async with asyncio.timeout_at(min(deadline, 1e12)):
-                await self._try_targets(context, turn)
+                answer = await self._try_targets(context, turn)
         except TimeoutError:
             if turn.is_streaming:
                 turn.abort()
                 context.notes["end"] = "cut_at_deadline"
                 return
             raise Refusal(_describe_timeout(context)) from None
-
-    async def _try_targets(self, context: RequestContext, turn: Turn) -> None:
-        if not self._schedule.is_large(context.route.name):
-            await self._try_each(context, turn)
-            return
+        if answer is not None:
+            # It may have to wait for the answers before it on its connection. It is
+            # ready, so it is delivered however long that takes.
+            await turn.send(answer)
+
+    async def _try_targets(self, context: RequestContext, turn: Turn) -> Answer | None:
+        """Return an answer that is still to be sent; None where it was streamed."""
+        if not self._is_large(context.route):
+            return await self._try_each(context, turn)
+        if self._relays.choose(_now()) is not None and not context.body:
+            context.relays = self._relays
+            return await self._try_each(context, turn)
         need = self._build_need(context)
         work_s = self._dispatcher.estimate_work(need)
         now = _now()
         context.transfer = self._schedule.reserve(context.route.name, work_s, now)
         try:
             await self._wait_for_link(context, work_s, now)
-            await self._try_each(context, turn)
+            return await self._try_each(context, turn)
         finally:
             self._release_ask(context)
-            self._schedule.settle(context.transfer, None)
+            self._schedule.settle(context.transfer, None, _now())
 
     async def _wait_for_link(
         self, context: RequestContext, work_s: float, now: float
@@ -136,6 +147,12 @@
             context.notes["link_wait_ms"] = round(wait_s * 1000)
             await asyncio.sleep(wait_s)
 
+    def _is_large(self, route: Route) -> bool:
+        """Return whether responses of a route are planned or relayed."""
+        if route.kind is RouteKind.DOWNLOAD:
+            self._schedule.assume_large(route.name)
+        return self._schedule.is_large(route.name)
+
     async def _take_ask(self, context: RequestContext) -> None:
         """Wait until few large responses are asked for and have not begun."""
         if context.transfer is not None and not context.holds_ask:
@@ -147,14 +164,14 @@
             context.holds_ask = False
             self._asks.release()
 
-    async def _try_each(self, context: RequestContext, turn: Turn) -> None:
+    async def _try_each(self, context: RequestContext, turn: Turn) -> Answer | None:
         failure: Verdict | None = None
         for _ in range(MAX_CONNECTS):
             await self._take_ask(context)
             lease = self._acquire(context, failure)
             result = await self._attempt(context, lease, turn)
-            if result is None:
-                return
+            if not isinstance(result, _Retry):
+                return result
             failure = result.verdict
             context.excluded.add(lease.target.id)
             if not (result.is_granted or self._may_repeat(context)):
@@ -212,7 +229,7 @@
 
     async def _attempt(
         self, context: RequestContext, lease: Lease, turn: Turn
-    ) -> _Retry | None:
+    ) -> _Retry | Answer | None:
         """Send the request once; None means that the caller has its answer."""
         exchange = Exchange(self._client, self._names, self._connect_timeout_s)
         context.attempts.append(_describe_attempt(lease))
@@ -229,8 +246,7 @@
                 self._release(context, lease, end)
                 exchange.close(is_complete=True)
                 self._load.add_bytes(len(exchange.held), _now())
-                await turn.send(self._build_answer(exchange))
-                return None
+                return self._build_answer(exchange)
             # The target has ended its work, though the response is still on its way.
             self._release(context, lease, end)
             end.is_complete = await self._stream(context, exchange, turn)
@@ -261,7 +277,12 @@
         """Send and receive; a retry says why the response can't be passed on."""
         now = _now()
         try:
-            await exchange.open(lease.target.address, reuse=context.is_repeatable)
+            await exchange.open(
+                lease.target.address,
+                reuse=context.is_repeatable,
+                route=context.relays,
+                due_s=context.objective_at - now,
+            )
         except (TargetUnreachable, ConnectTimeout) as error:
             verdict = refuse("target_unreachable", str(error), status=503)
             return Outcome.UNREACHABLE, _Retry(verdict)
@@ -357,7 +378,7 @@
         size = len(exchange.held)
         length = exchange.get_length()
         if length is not None and context.transfer is not None:
-            self._schedule.settle(context.transfer, int(length))
+            self._schedule.settle(context.transfer, int(length), _now())
         await turn.start(message.code, message.reason, headers, length)
         chunk, exchange.held = exchange.held, b""
         try:
@@ -372,7 +393,7 @@
         turn.finish()
         self._schedule.record_size(context.route.name, size)
         if context.transfer is not None:
-            self._schedule.settle(context.transfer, size)
+            self._schedule.settle(context.transfer, size, _now())
         return True
 
     async def _write_paced(self, turn: Turn, chunk: bytes, due_at: float) -> None:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -15,7 +15,6 @@
 from toucanwood.gateway._handler import RequestHandler
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.gateway._load import LoadMeter
-from toucanwood.gateway._pacing import StreamPacer
 from toucanwood.gateway._prober import Prober
 from toucanwood.gateway._settings import GatewaySettings
 from toucanwood.httpd import Answer, HttpServer, Turn
@@ -23,6 +22,7 @@
 from toucanwood.peering import PeerNetwork
 from toucanwood.placement import LinkSchedule, RegionShare, RetryBudget
 from toucanwood.quota import QuotaGate
+from toucanwood.relay import RelayRoute, StreamPacer
 from toucanwood.routing import CallerLimits
 from toucanwood.upstream import TargetClient
 
@@ -51,6 +51,7 @@
         self.settings = settings
         self.names = names if names is not None else HeaderNames()
         self.view = FleetView()
+        self.relays = RelayRoute(settings.link_bytes_per_s)
         self.load = LoadMeter(settings.link_bytes_per_s)
         self.metrics = MetricsRegistry()
         self.metrics.add_gauges(self._read_gauges)
@@ -157,6 +158,7 @@
             pacer=StreamPacer.from_link(settings.link_bytes_per_s),
             schedule=LinkSchedule(settings.link_bytes_per_s),
             load=self.load,
+            relays=self.relays,
             connect_timeout_s=choose_connect_timeout(settings.link_bytes_per_s),
         )
         admission = Admission(
@@ -182,6 +184,7 @@
             quota=self.quota,
             describe=self._describe,
             on_update=self._on_update,
+            on_relays=self._on_relays,
             peer_port=settings.peer_port,
             controllers=settings.controllers,
         )
@@ -223,6 +226,11 @@
     def _on_update(self) -> None:
         self.dispatcher.update(self.view, self.feed.entries)
 
+    def _on_relays(self, controllers: list[str]) -> None:
+        port = self.settings.relay_port
+        if port is not None:
+            self.relays.relays = tuple(f"{item}:{port}" for item in controllers)
+
     async def _answer_ready(self, turn: Turn) -> None:
         is_right = turn.request.path == self.settings.ready_path
         status = 200 if self.is_ready() else 503
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -29,6 +29,8 @@
     retry_window_s: float = 10.0
     shift_fraction: float = 1.0
     shift_window_s: float = 2.0
+    # The port of relays on machines of controllers; None uses none.
+    relay_port: int | None = None
     # A state that was not proven for longer denies nothing for good.
     max_state_age_s: float = 1.5
     # Where the metrics are read, as `ip:port`; None serves none.
@@ -43,6 +45,9 @@
             name: reader.read(name, str)
             for name in ("id", "data_centre", "region", "listen", "ready", "peer")
         }
+        values["relay_port"] = reader.read_number(
+            "relay_port", None, low=1, integer=True
+        )
         values["metrics"] = reader.read("metrics", str, None)
         values["ready_path"] = reader.read("ready_path", str, "/ready")
         values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -17,6 +17,7 @@
     shed,
     silent,
 )
+from toucanwood.relay import RelayServer
 
 
 def test_answer_is_passed_on_whole_with_its_status_and_signature():
@@ -342,3 +343,42 @@
         assert max(running) <= 2
 
     play(scenario, FakeTarget("t-1"), link_bytes_per_s=600_000)
+
+
+# Guards against large responses that fail, or fill the link, with the relay's machine.
+def test_large_response_comes_through_a_relay_and_without_it_directly():
+    async def scenario(world):
+        target = world.targets[0]
+        large = bytes(30_000)
+        target.script = [answer(body=large), answer(body=large)]
+        relay = RelayServer(lambda address: address == target.address)
+        await relay.start("127.0.0.1:0")
+        world.gateway.relays.relays = (relay.address,)
+        status, _, body = await world.send("/large/x")
+        assert (status, body) == (200, large)
+        assert world.gateway.client.relayed == 1
+        await relay.stop()
+        status, _, body = await world.send("/large/x")
+        assert (status, body) == (200, large)
+        assert world.gateway.client.relayed == 1
+        assert len(target.seen) == 2
+
+    play(scenario, FakeTarget("t-1"), link_bytes_per_s=600_000)
+
+
+# Guards against an answer that is ready and is replaced by a time-out, because it waits
+# behind a slower one of the same connection.
+def test_ready_answer_is_delivered_after_a_slow_one_before_it():
+    async def scenario(world):
+        target = world.targets[0]
+        target.script = [answer_later(0.7, b"slow", []), answer(body=b"ready")]
+        reader, writer = await world.connect()
+        first = world.build_request("/safe/x")
+        writer.write(first)
+        await asyncio.sleep(0.1)
+        writer.write(world.build_request("/short/x"))
+        assert (await read_answer(reader))[::2] == (200, b"slow")
+        assert (await read_answer(reader))[::2] == (200, b"ready")
+        writer.close()
+
+    play(scenario, FakeTarget("t-1"))
--- a/toucanwood/placement/_link.py
+++ b/toucanwood/placement/_link.py
@@ -4,6 +4,8 @@
 
 # A response that takes the link for less than this is not worth a schedule.
 MIN_TRANSFER_S = 0.02
+# The size of a large response before one was seen: what a target sends at once.
+ASSUMED_BYTES = 64 * 1024.0
 # Weight of the last response in the mean size of a kind.
 SIZE_WEIGHT = 0.1
 
@@ -30,7 +32,14 @@
 
     bytes_per_s: float
     _free_at: float = 0.0
+    _pending: int = 0
     _sizes: dict[str, float] = attrs.field(factory=dict)
+    # Kinds that are taken for large until a response was seen.
+    _large: set[str] = attrs.field(factory=set)
+
+    def assume_large(self, kind: str) -> None:
+        """Take responses of a kind for large until one was seen."""
+        self._large.add(kind)
 
     def is_large(self, kind: str) -> bool:
         """Return whether responses of a kind are scheduled."""
@@ -41,15 +50,20 @@
         starts_at = max(self._free_at, now + work_s)
         transfer = Transfer(starts_at, self._measure(kind))
         self._free_at = starts_at + transfer.seconds
+        self._pending += 1
         return transfer
 
-    def settle(self, transfer: Transfer, size: int | None) -> None:
+    def settle(self, transfer: Transfer, size: int | None, now: float) -> None:
         """Correct the plan by the size of the response; None where none came."""
         if transfer.is_settled:
             return
         transfer.is_settled = True
+        self._pending -= 1
         actual = size / self.bytes_per_s if size is not None else 0.0
         self._free_at += actual - transfer.seconds
+        if not self._pending:
+            # It came earlier than planned, and nothing is planned after it.
+            self._free_at = min(self._free_at, now + actual)
 
     def record_size(self, kind: str, size: int) -> None:
         """Learn from the size of one response."""
@@ -59,4 +73,5 @@
 
     def _measure(self, kind: str) -> float:
         """Return for how long a response of a kind uses the link."""
-        return self._sizes.get(kind, 0.0) / self.bytes_per_s
+        assumed = ASSUMED_BYTES if kind in self._large else 0.0
+        return self._sizes.get(kind, assumed) / self.bytes_per_s
--- a/toucanwood/gateway/tests/test_pacing.py
+++ b/toucanwood/relay/tests/test_pacing.py
@@ -2,7 +2,7 @@
 
 from toucanwood.controller import unpack_part
 from toucanwood.controller._messages import pack_part
-from toucanwood.gateway._pacing import PIECE_BYTES, StreamPacer
+from toucanwood.relay._pacing import PIECE_BYTES, StreamPacer
 from toucanwood.utils import run_virtual
 
 # A small entry has a link of 2.75 Mbit/s.
--- a/toucanwood/upstream/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -18,6 +18,8 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EofStream, StreamReader
 
+from toucanwood.relay import RelayFailed, RelayRoute, TargetRefused, open_relayed
+
 READ_BUFFER_BYTES = 64 * 1024
 MAX_IDLE_PER_TARGET = 8
 MAX_IDLE_S = 15.0
@@ -177,11 +179,26 @@
         self._sweep_timer: asyncio.TimerHandle | None = None
         self.opened = 0
         self.reused = 0
+        self.relayed = 0
 
     async def open(
-        self, address: str, *, reuse: bool, progress: Progress
+        self,
+        address: str,
+        *,
+        reuse: bool,
+        progress: Progress,
+        route: RelayRoute | None = None,
+        due_s: float = 0.0,
     ) -> TargetConnection:
-        """Return an idle connection to a target, or a new one."""
+        """Return an idle connection to a target, or a new one.
+
+        With a `route` the connection leads through a relay, if one works.
+        """
+        if route is not None:
+            relayed = await self._connect_relayed(address, route, due_s)
+            if relayed is not None:
+                progress.connected = True
+                return relayed
         if reuse:
             idle = self._take_idle(address)
             if idle is not None:
@@ -206,6 +223,32 @@
             raise TargetError(f"{address} closed the new connection")
         return TargetConnection(address, protocol)
 
+    async def _connect_relayed(
+        self, address: str, route: RelayRoute, due_s: float
+    ) -> TargetConnection | None:
+        """Return a connection through a relay, or None where none works."""
+        loop = asyncio.get_running_loop()
+        relay = route.choose(loop.time())
+        if relay is None:
+            return None
+        rate = route.link_bytes_per_s
+        try:
+            sock = await open_relayed(
+                relay, address, link_bytes_per_s=rate, due_s=due_s
+            )
+            _, protocol = await loop.create_connection(
+                lambda: TargetProtocol(loop), sock=sock
+            )
+        except TargetRefused as error:
+            raise TargetUnreachable(str(error)) from error
+        except (RelayFailed, OSError) as error:
+            route.note_failed(relay, str(error), loop.time())
+            return None
+        if protocol.transport is None:
+            return None
+        self.relayed += 1
+        return TargetConnection(address, protocol)
+
     def _take_idle(self, address: str) -> TargetConnection | None:
         idle = self._idle.get(address)
         now = asyncio.get_running_loop().time()
@@ -267,4 +310,9 @@
     def dump(self) -> dict[str, int]:
         """Return the number of connections."""
         idle = sum(len(connections) for connections in self._idle.values())
-        return {"opened": self.opened, "reused": self.reused, "idle": idle}
+        return {
+            "opened": self.opened,
+            "reused": self.reused,
+            "relayed": self.relayed,
+            "idle": idle,
+        }
--- a/toucanwood/utils/logs.py
+++ b/toucanwood/utils/logs.py
@@ -36,6 +36,8 @@
         "call_incomplete",
         "target_probed",
         "controller_lost",
+        "relay_lost",
+        "relay_refused",
     }
 )
 
