Let late requests run by the load that targets report

Change: the load over slots that any target of a service reports counts as the use of the service, fading in a second; above 0.6 late requests run only where their object is to be learnt.

--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -1,5 +1,6 @@
 """The targets of one service and the decision on each request for it."""
 
+import math
 import random
 from typing import Any
 
@@ -18,6 +19,11 @@
 SLOTS_PER_TARGET = 4
 # Weight of the last response in the common delay of a service.
 COMMON_WEIGHT = 0.05
+# Weight of the last report in the use of a service, and how fast the use fades without
+# reports.
+USE_WEIGHT = 0.05
+USE_FADE_S = 1.0
+MAX_REPORTED_USE = 4.0
 MAX_COMMON = 10.0
 # Below this part of slots in use, late requests may run anywhere.
 SPARE_USE = 0.6
@@ -65,6 +71,10 @@
     # The time of responses over what was expected, over all targets together. Where
     # it is above 1 the entry's own link or processor is busy, and no target is slow.
     _common: float = 1.0
+    # The load that targets report over their slots. One of many entries hears of each
+    # target every few seconds only, and its own requests say little of the load.
+    _use: float = 0.0
+    _use_at: float = float("-inf")
 
     def place(self, need: Need, now: float) -> Placed | Refused:
         """Decide on a request that has just arrived."""
@@ -111,6 +121,7 @@
         record.end_request(placed.number)
         if report is not None:
             record.record_load(report, now)
+            self._note_use(report, now)
         if outcome is Outcome.OK:
             times = self.find_times(need)
             expected = times.estimate(warm_chance)
@@ -126,6 +137,16 @@
             record.record_load(LoadReport(record.target.slots, 1, 0), now)
         return record.health.record(outcome, now)
 
+    def _note_use(self, report: LoadReport, now: float) -> None:
+        use = (report.running + report.waiting - 1) / max(report.slots, 1)
+        use = min(max(use, 0.0), MAX_REPORTED_USE)
+        self._use += USE_WEIGHT * (use - self._use)
+        self._use_at = now
+
+    def measure_reported_use(self, now: float) -> float:
+        """Return the usual load of a target over its slots, by what targets report."""
+        return self._use * math.exp(-(now - self._use_at) / USE_FADE_S)
+
     def _note_common(self, ratio: float) -> None:
         ratio = min(ratio, MAX_COMMON)
         self._common = max(self._common + COMMON_WEIGHT * (ratio - self._common), 1.0)
@@ -150,7 +171,8 @@
         usable = [item for item in self.records.values() if not item.health.is_ejected]
         slots = sum(item.target.slots for item in usable)
         load = sum(item.estimate_load(now) for item in usable)
-        return load / slots if slots else 1.0
+        estimate = load / slots if slots else 1.0
+        return max(estimate, self.measure_reported_use(now))
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return a JSON-serialisable description."""
--- a/toucanwood/placement/tests/test_decisions.py
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -367,3 +367,35 @@
     finish_all(pool, {**dict.fromkeys(pool.records, 0.1), "t-3": 0.5}, rounds=10)
     assert pool.records["t-3"].measure_slowness(40.0) > 2.0
     assert pool.records["t-1"].measure_slowness(40.0) < 1.3
+
+
+def learn_use(pool, running, now):
+    """Let every target report its load with the answer to one request."""
+    need = build_need(now)
+    for record in pool.records.values():
+        choice = Choice(record, 0.1, True, 0.95, True)
+        placed = Placed(choice, "in_time")
+        placed = attrs.evolve(placed, number=pool.start(placed, need, now))
+        report = LoadReport(running, 2, record.target.slots)
+        finish(pool, placed, need, now, seconds=0.1, report=report)
+
+
+# Guards against an overload that feeds itself: one of 60 entries hears of each target
+# every few seconds, takes the targets for idle, and lets late runs take all slots.
+def test_late_request_gets_no_slot_while_targets_report_that_they_are_busy():
+    pool = build_pool(4)
+    times = pool.find_times(build_need())
+    times.record(0.9, 0.03)
+    times.record(0.1, 0.95)
+    now = 0.0
+    for number in range(40):
+        now = number * 0.05
+        learn_use(pool, 4, now)
+    # The reports of single targets have faded by now, that of the service has not.
+    now += 0.4
+    first = {_find_first(pool, "o")}
+    slow = build_need(now, object_key="o", excluded=frozenset(first))
+    assert isinstance(pool.place(slow, now), Refused)
+    now += 5.0
+    slow = build_need(now, object_key="o", excluded=frozenset(first))
+    assert isinstance(pool.place(slow, now), Placed)
