--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -120,6 +120,7 @@
             return await self._try_each(context, turn)
         if self._relays.choose(_now()) is not None and not context.body:
             context.relays = self._relays
+            context.notes["relayed"] = True
             return await self._try_each(context, turn)
         need = self._build_need(context)
         work_s = self._dispatcher.estimate_work(need)
