--- a/benchmarks/_stand_ins.py
+++ b/benchmarks/_stand_ins.py
@@ -13,11 +13,19 @@
 from aiohttp import web
 
 from toucanwood.entry.testing import Fixture, build_declaration, build_service
-
-OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello"
+from toucanwood.fleet import Target, TargetState
+from toucanwood.gateway import GatewayInstance, GatewaySettings, HeaderNames
+
+# The headers by which a gateway knows the answer to its request.
+NAMES = HeaderNames(signature="Toucanwood-Signature")
+REQUEST_ID = "benchmark"
+SIGNED = f"{NAMES.request_id}: {REQUEST_ID}\r\n{NAMES.signature}: s\r\n".encode()
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + SIGNED
+OK += b"Content-Length: 5\r\n\r\nhello"
 BLOCK = b"x" * 256 * 1024
 START_TIMEOUT_S = 20
 _SESSIONS: list[aiohttp.ClientSession] = []
+_GATEWAYS: list[GatewayInstance] = []
 
 
 class StubTarget(asyncio.Protocol):
@@ -84,6 +92,53 @@
         """Drop the item."""
 
 
+async def start_gateway(targets: list[str]) -> list[str]:
+    """Start a gateway in front of the targets and return its address."""
+    settings = GatewaySettings.from_config(
+        {
+            "id": "127.0.0.1",
+            "data_centre": "a",
+            "region": "r",
+            "listen": "127.0.0.1:0",
+            "ready": "127.0.0.1:0",
+            "peer": "127.0.0.1:0",
+            "peer_port": 1,
+            "controllers": [],
+            "region_by_data_centre": {"a": "r"},
+            "link_bytes_per_s": 125e6,
+        }
+    )
+    gateway = GatewayInstance(settings, NAMES)
+    _GATEWAYS.append(gateway)
+    gateway.server.start(settings.listen)
+    route = {"name": "r", "host": "h", "prefix": "/buscador/", "kind": "safe"}
+    rules = {"service": "s", "open": True, "objective_ms": 1000, "timeout_ms": 600_000}
+    document = {
+        "revision": 1,
+        "routes": [{**route, **rules, "max_attempts": 2}],
+        "services": [{"name": "s"}],
+        "organisations": [],
+    }
+    described = [
+        Target(
+            id=f"t{number}",
+            born_ms=1,
+            sequence=1,
+            service="s",
+            address=address,
+            data_centre="a",
+            software="",
+            slots=64,
+            state=TargetState.READY,
+            cold_left_s=0.0,
+        ).to_wire()
+        for number, address in enumerate(targets)
+    ]
+    gateway.view.replace(1, [1, document, [], described])
+    gateway.dispatcher.update(gateway.view, frozenset({settings.id}))
+    return [gateway.server.address]
+
+
 async def start_pass_through(targets: list[str]) -> list[str]:
     """Start a bare aiohttp proxy without any checks and return its address."""
     connector = aiohttp.TCPConnector(limit=0)
@@ -108,6 +163,7 @@
 STARTERS = {
     "targets": lambda arguments: start_targets(*arguments),
     "entry": lambda arguments: start_entry(*arguments),
+    "gateway": lambda arguments: start_gateway(*arguments),
     "pass_through": lambda arguments: start_pass_through(*arguments),
 }
 
@@ -179,7 +235,10 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._headers = f"Host: h\r\nX-Api-Key: {key}\r\nAccept: */*\r\n\r\n"
+        self._headers = (
+            f"Host: h\r\nX-Api-Key: {key}\r\nAccept: */*\r\n"
+            f"{NAMES.request_id}: {REQUEST_ID}\r\n\r\n"
+        )
 
     @classmethod
     @contextlib.asynccontextmanager
--- a/benchmarks/outcomes.py
+++ b/benchmarks/outcomes.py
@@ -38,17 +38,19 @@
     targets = Process("targets", TARGETS)
     entry = Process("entry", targets.addresses)
     bare = Process("pass_through", targets.addresses)
+    gateway = Process("gateway", targets.addresses)
     try:
         return {
             "seed": seed,
             "latency": asyncio.run(_measure_latency(targets, entry, bare)),
             "load": _measure_load({"entry": entry, "bare": bare}, PATH),
+            "gateway_load": _measure_load({"entry": gateway, "bare": bare}, PATH),
             "lookups": _measure_load({"entry": entry, "bare": bare}, LOOKUP_PATH),
             "retries": asyncio.run(_measure_retries(seed)),
             "memory": asyncio.run(_measure_memory(entry)),
         }
     finally:
-        for process in (entry, bare, targets):
+        for process in (entry, gateway, bare, targets):
             process.stop()
 
 
