Move the way of large responses out of the forwarder

No change of behaviour: LargeResponses holds the relay, the plan of the link and the number of large responses that are asked for; the forwarder keeps the attempts.

--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -11,10 +11,10 @@
 from toucanwood.gateway._dispatcher import Dispatcher, Lease
 from toucanwood.gateway._exchange import ConnectTimeout, Exchange
 from toucanwood.gateway._headers import HeaderNames, drop_hop_by_hop
+from toucanwood.gateway._large import LargeResponses
 from toucanwood.gateway._load import LoadMeter
 from toucanwood.httpd import Answer, Turn
 from toucanwood.placement import (
-    LinkSchedule,
     LoadReport,
     Need,
     Outcome,
@@ -22,8 +22,7 @@
     RetryBudget,
 )
 from toucanwood.quota import QuotaGate
-from toucanwood.relay import PIECE_BYTES, RelayRoute, StreamPacer
-from toucanwood.routing import Route, RouteKind
+from toucanwood.relay import PIECE_BYTES, StreamPacer
 from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
 from toucanwood.verdicts import Verdict, doubt, refuse
 
@@ -37,9 +36,6 @@
 # this bounds them anyway.
 MAX_CONNECTS = 4
 MISDIRECTED = 421
-# Large responses that an entry with a slow link waits for at once. The plan of the link
-# goes by usual times; responses that come earlier or later than planned meet there.
-MAX_LARGE_ASKED = 2
 # A repeat needs at least this time to be of use.
 MIN_REPEAT_S = 0.05
 
@@ -78,17 +74,14 @@
         find_budget: Callable[[str], RetryBudget],
         hold_bytes: int,
         pacer: StreamPacer,
-        schedule: LinkSchedule,
+        large: LargeResponses,
         load: LoadMeter,
         connect_timeout_s: float,
-        relays: RelayRoute,
     ) -> None:
-        self._relays = relays
         self._connect_timeout_s = connect_timeout_s
-        self._asks = asyncio.Semaphore(MAX_LARGE_ASKED)
         self._load = load
         self._pacer = pacer
-        self._schedule = schedule
+        self._large = large
         self._dispatcher = dispatcher
         self._client = client
         self._names = names
@@ -116,59 +109,17 @@
 
     async def _try_targets(self, context: RequestContext, turn: Turn) -> Answer | None:
         """Return an answer that is still to be sent; None where it was streamed."""
-        if not self._is_large(context.route):
-            return await self._try_each(context, turn)
-        if self._relays.choose(_now()) is not None and not context.body:
-            context.relays = self._relays
-            context.notes["relayed"] = True
-            return await self._try_each(context, turn)
-        need = self._build_need(context)
-        work_s = self._dispatcher.estimate_work(need)
-        now = _now()
-        context.transfer = self._schedule.reserve(context.route.name, work_s, now)
-        try:
-            await self._wait_for_link(context, work_s, now)
-            return await self._try_each(context, turn)
-        finally:
-            self._release_ask(context)
-            self._schedule.settle(context.transfer, None, _now())
 
-    async def _wait_for_link(
-        self, context: RequestContext, work_s: float, now: float
-    ) -> None:
-        """Wait until the response will find the link free, or refuse the request."""
-        assert context.transfer is not None
-        wait_s = context.transfer.starts_at - work_s - now
-        if context.transfer.starts_at >= context.deadline_at:
-            message = "the link has no room for the response before the deadline"
-            raise Refusal(
-                refuse("link_full", message, status=503, retry_after=wait_s / 2)
-            )
-        if wait_s > 0:
-            context.notes["link_wait_ms"] = round(wait_s * 1000)
-            await asyncio.sleep(wait_s)
-
-    def _is_large(self, route: Route) -> bool:
-        """Return whether responses of a route are planned or relayed."""
-        if route.kind is RouteKind.DOWNLOAD:
-            self._schedule.assume_large(route.name)
-        return self._schedule.is_large(route.name)
-
-    async def _take_ask(self, context: RequestContext) -> None:
-        """Wait until few large responses are asked for and have not begun."""
-        if context.transfer is not None and not context.holds_ask:
-            await self._asks.acquire()
-            context.holds_ask = True
-
-    def _release_ask(self, context: RequestContext) -> None:
-        if context.holds_ask:
-            context.holds_ask = False
-            self._asks.release()
+        def estimate_work() -> float:
+            return self._dispatcher.estimate_work(self._build_need(context))
+
+        async with self._large.admit(context, estimate_work):
+            return await self._try_each(context, turn)
 
     async def _try_each(self, context: RequestContext, turn: Turn) -> Answer | None:
         failure: Verdict | None = None
         for _ in range(MAX_CONNECTS):
-            await self._take_ask(context)
+            await self._large.take_ask(context)
             lease = self._acquire(context, failure)
             result = await self._attempt(context, lease, turn)
             if not isinstance(result, _Retry):
@@ -237,7 +188,7 @@
         end = _End()
         try:
             end.outcome, result = await self._exchange(context, lease, exchange)
-            self._release_ask(context)
+            self._large.release_ask(context)
             end.report = self._names.read_load(exchange.get_headers())
             if result is not None:
                 return result
@@ -378,8 +329,7 @@
         headers = drop_hop_by_hop(message.headers.items())
         size = len(exchange.held)
         length = exchange.get_length()
-        if length is not None and context.transfer is not None:
-            self._schedule.settle(context.transfer, int(length), _now())
+        self._large.note_length(context, length)
         await turn.start(message.code, message.reason, headers, length)
         chunk, exchange.held = exchange.held, b""
         try:
@@ -392,9 +342,7 @@
             turn.abort()
             return False
         turn.finish()
-        self._schedule.record_size(context.route.name, size)
-        if context.transfer is not None:
-            self._schedule.settle(context.transfer, size, _now())
+        self._large.note_size(context, size)
         return True
 
     async def _write_paced(self, turn: Turn, chunk: bytes, due_at: float) -> None:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -14,6 +14,7 @@
 from toucanwood.gateway._forwarder import Forwarder
 from toucanwood.gateway._handler import RequestHandler
 from toucanwood.gateway._headers import HeaderNames
+from toucanwood.gateway._large import LargeResponses
 from toucanwood.gateway._load import LoadMeter
 from toucanwood.gateway._prober import Prober
 from toucanwood.gateway._settings import GatewaySettings
@@ -156,9 +157,10 @@
             find_budget=self._find_budget,
             hold_bytes=min(max(hold, MIN_HOLD_BYTES), MAX_HOLD_BYTES),
             pacer=StreamPacer.from_link(settings.link_bytes_per_s),
-            schedule=LinkSchedule(settings.link_bytes_per_s),
+            large=LargeResponses(
+                schedule=LinkSchedule(settings.link_bytes_per_s), relays=self.relays
+            ),
             load=self.load,
-            relays=self.relays,
             connect_timeout_s=choose_connect_timeout(settings.link_bytes_per_s),
         )
         admission = Admission(
