Ask targets how cold they are when an entry starts

Change: targets of the first state that were cold once are unproven, and a probe tells how cold they are; a probe that fails is repeated after 0.5 s, not at each look. Tests: an entry that starts asks, and keeps to the rate of a target that is cold; the first one fails without the change.

--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -168,7 +168,12 @@
                 target, region, self._estimate_latency(target), seen_at=seen_at
             )
             pool.records[target.id] = record
-            record.cold_until = now + target.cold_left_s
+            if seen_at == float("-inf"):
+                # The first state tells how cold the target was when it last had news,
+                # which may be long ago. A probe tells how cold it is.
+                record.is_unproven = target.cold_left_s > 0
+            else:
+                record.cold_until = now + target.cold_left_s
             self._remove_elsewhere(target)
             return
         if record.target == target:
--- a/toucanwood/gateway/_prober.py
+++ b/toucanwood/gateway/_prober.py
@@ -16,6 +16,8 @@
 
 CHECK_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
+# A probe takes a slot of its target, so one that fails is not repeated at once.
+UNPROVEN_INTERVAL_S = 0.5
 MAX_BODY_BYTES = 4096
 
 
@@ -59,7 +61,7 @@
             return False
         if record.health.is_ejected:
             return now >= record.health.probe_at
-        return record.is_unproven
+        return record.is_unproven and now >= record.health.probe_at
 
     async def _probe(self, record: TargetRecord) -> None:
         loop = asyncio.get_running_loop()
@@ -78,6 +80,8 @@
         if record.health.is_ejected:
             record.health.record_probe(is_healthy=is_healthy, now=now)
             log.info("target_probed", target=record.id, healthy=is_healthy)
+        elif record.is_unproven and not is_healthy:
+            record.health.probe_at = now + UNPROVEN_INTERVAL_S
         if is_healthy:
             record.is_unproven = False
             record.cold_until = max(record.cold_until, now + cold_left_s)
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -382,3 +382,30 @@
         writer.close()
 
     play(scenario, FakeTarget("t-1"))
+
+
+# Guards against an entry that takes targets for cold after its own restart, because the
+# state tells how cold they were when they started: it refused most requests for 3 s.
+def test_entry_that_starts_asks_how_cold_its_targets_are():
+    async def scenario(world):
+        (target,) = world.targets
+        (record,) = world.gateway.dispatcher.list_records()
+        now = asyncio.get_running_loop().time()
+        assert record.is_cold(now) and record.is_unproven
+        await asyncio.sleep(0.3)
+        now = asyncio.get_running_loop().time()
+        assert [item.line.split()[1] for item in target.seen] == ["/health"]
+        assert not record.is_cold(now)
+
+    play(scenario, FakeTarget("t-1"), cold_left_s=3.0)
+
+
+def test_entry_that_starts_keeps_to_the_rate_of_a_target_that_is_cold():
+    async def scenario(world):
+        await asyncio.sleep(0.3)
+        (record,) = world.gateway.dispatcher.list_records()
+        now = asyncio.get_running_loop().time()
+        assert record.is_cold(now + 1.0) and not record.is_cold(now + 3.0)
+
+    cold = answer(headers=[f"{NAMES.cold_remaining_ms}: 2000"])
+    play(scenario, FakeTarget("t-1", cold), cold_left_s=3.0)
--- a/toucanwood/gateway/tests/world.py
+++ b/toucanwood/gateway/tests/world.py
@@ -265,7 +265,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_world(*targets, data_centres=None, **changed):
+async def run_world(*targets, data_centres=None, cold_left_s=0.0, **changed):
     for target in targets:
         await target.start()
     gateway = GatewayInstance(build_settings(**changed), NAMES)
@@ -273,7 +273,7 @@
     await gateway.start()
     places = data_centres or ["a"] * len(targets)
     described = [
-        target.describe(place).to_wire()
+        attrs.evolve(target.describe(place), cold_left_s=cold_left_s).to_wire()
         for target, place in zip(targets, places, strict=True)
     ]
     gateway.view.replace(1, [1, build_document(), [], described])
