Announce an entry as soon as it is ready

Cause: after a restart of all instances an entry is ready when its first state arrives, and its announcement followed up to a second later; look-ups named nobody meanwhile. Change: the first ready state is announced at once. Test: gateway/tests/test_outcomes. Not measured by itself.

--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -60,6 +60,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._is_leaving = False
         self._is_refusing = False
+        self._is_announced = False
         self.network = PeerNetwork(
             instance_id=settings.id, address=settings.peer, secret=DEFAULT_SECRET
         )
@@ -227,6 +228,10 @@
 
     def _on_update(self) -> None:
         self.dispatcher.update(self.view, self.feed.entries)
+        if self.is_ready() and not self._is_announced:
+            # Look-ups name an entry only once it has said that it is ready.
+            self._is_announced = True
+            self.feed.announce()
 
     def _on_relays(self, controllers: list[str]) -> None:
         port = self.settings.relay_port
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -409,3 +409,15 @@
 
     cold = answer(headers=[f"{NAMES.cold_remaining_ms}: 2000"])
     play(scenario, FakeTarget("t-1", cold), cold_left_s=3.0)
+
+
+# Guards against look-ups that leave a started entry out for a second after it is ready.
+def test_entry_announces_itself_as_soon_as_it_is_ready():
+    async def scenario(world):
+        announced = []
+        world.gateway.feed.announce = lambda: announced.append(1)
+        world.gateway._on_update()
+        world.gateway._on_update()
+        assert len(announced) == 1
+
+    play(scenario, FakeTarget("t-1"))
