--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -136,6 +136,9 @@
         if not isinstance(decision, Refused):
             return decision
         context.notes["refused"] = decision.reason
+        context.notes["use"] = round(decision.use, 2)
+        if decision.expected_s is not None:
+            context.notes["expected_ms"] = round(decision.expected_s * 1000)
         if failure is not None:
             raise Refusal(self._settle(context, failure))
         message = f"service {context.service}: {decision.reason}"
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -46,10 +46,16 @@
 
 @attrs.frozen
 class Refused:
-    """Tell why a request is turned away and when it may come back, in seconds."""
+    """Tell why a request is turned away and when it may come back, in seconds.
+
+    `expected_s` is the time at the best target, if one has room; `use` is the load over
+    slots that targets have reported lately.
+    """
 
     reason: str
     retry_after_s: float
+    expected_s: float | None = None
+    use: float = 0.0
 
 
 @attrs.define
@@ -88,12 +94,12 @@
         if choice is None:
             records = self.records.values()
             has_target = self.selection.has_candidate(records, need)
-            return self.refuse(need, "no_room" if has_target else "no_target")
+            return self.refuse(need, "no_room" if has_target else "no_target", now)
         if now + choice.expected_s <= need.objective_at:
             return Placed(choice, "in_time")
         if self._may_run_late(choice, now):
             return Placed(choice, "late")
-        return self.refuse(need, "would_be_late")
+        return self.refuse(need, "would_be_late", now, choice.expected_s)
 
     def start(self, placed: Placed, need: Need, now: float) -> int:
         """Count a request that is sent to a target and return its number there."""
@@ -159,12 +165,15 @@
             self._times[need.kind] = times
         return times
 
-    def refuse(self, need: Need, reason: str) -> Refused:
+    def refuse(
+        self, need: Need, reason: str, now: float, expected_s: float | None = None
+    ) -> Refused:
         """Turn a request away; it may come back when a slot should be free."""
         wait = self.find_times(need).get_warm() / SLOTS_PER_TARGET
         wait = min(max(wait, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
         # Requests that are refused together must not come back together.
-        return Refused(reason, wait * self.generator.uniform(0.7, 1.3))
+        wait *= self.generator.uniform(0.7, 1.3)
+        return Refused(reason, wait, expected_s, self.measure_reported_use(now))
 
     def measure_use(self, now: float) -> float:
         """Return the part of the slots in use, as estimated here."""
--- a/toucanwood/placement/tests/test_decisions.py
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -399,3 +399,20 @@
     now += 5.0
     slow = build_need(now, object_key="o", excluded=frozenset(first))
     assert isinstance(pool.place(slow, now), Placed)
+
+
+# Guards against a refusal whose log line does not tell what it was decided by.
+def test_refusal_tells_the_use_and_the_expected_time():
+    pool = build_pool(2)
+    times = pool.find_times(build_need())
+    times.record(0.9, 0.03)
+    times.record(0.5, 0.95)
+    now = 0.0
+    for number in range(40):
+        now = number * 0.05
+        learn_use(pool, 4, now)
+    need = build_need(now, object_key="o", objective_at=now + 0.2)
+    refused = pool.place(need, now)
+    assert isinstance(refused, Refused)
+    assert refused.use > 0.6
+    assert refused.expected_s is not None and refused.expected_s > 0.2
