Tell callers of a started entry to return when it should have its state

Change: Retry-After is the time until the first state is due, spread over callers. Test: gateway/tests/test_outcomes, fails before.

--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -1,7 +1,9 @@
 """The checks of a request before it may be placed."""
 
+import asyncio
 import itertools
 import math
+import random
 from collections.abc import Callable
 
 import attrs
@@ -16,7 +18,12 @@
 
 # A caller that does not say how long it waits.
 DEFAULT_DEADLINE_S = 30.0
-RETRY_AFTER_START_S = 0.2
+# After a start of all instances the first state comes after this time: the election of a
+# leader takes 0.6 s and the next poll 0.25 s. Callers that return before it are lost.
+FIRST_STATE_S = 1.1
+MIN_START_WAIT_S = 0.2
+# Callers that were refused together don't all return together.
+START_SPREAD = 1.4
 RETRY_AFTER_QUOTA_S = 0.5
 # The next polls of other controllers take about this long.
 RETRY_AFTER_STALE_S = 0.5
@@ -71,13 +78,15 @@
         self._is_refusing = is_refusing
         self._splitter = Splitter()
         self._own_ids = itertools.count(1)
+        self._started_at = asyncio.get_running_loop().time()
+        self._random = random.Random()
 
     async def admit(self, request: CallerRequest, now: float) -> RequestContext:
         """Return the context of a request that may be placed, or raise Refusal."""
         table = self._view.table
         if table is None:
             message = "this entry has no routing table yet"
-            raise _refuse("no_routing", message, 503, RETRY_AFTER_START_S)
+            raise _refuse("no_routing", message, 503, self._suggest_start_wait(now))
         if self._is_refusing():
             raise _refuse("stopping", "this entry is stopping", 503, 0.0)
         route = self._match(table, request)
@@ -107,6 +116,11 @@
             raise self._deny("key_unknown", "the key is missing or unknown", 401)
         return organisation
 
+    def _suggest_start_wait(self, now: float) -> float:
+        """Return for how many seconds a caller should wait for the first state."""
+        left = max(self._started_at + FIRST_STATE_S - now, MIN_START_WAIT_S)
+        return left * self._random.uniform(1.0, START_SPREAD)
+
     def _deny(self, code: str, message: str, status: int) -> Refusal:
         """Deny for good only by a state that is proven to be recent.
 
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -421,3 +421,22 @@
         assert len(announced) == 1
 
     play(scenario, FakeTarget("t-1"))
+
+
+# Guards against callers that come back to a started entry before it has any state: in
+# an incident 2341 requests were refused twice within a second of the start.
+def test_started_entry_tells_callers_to_return_when_it_should_have_its_state():
+    async def scenario(world):
+        world.gateway.view.table = None
+        waits = []
+        for _ in range(5):
+            status, headers, _ = await world.send("/safe/x")
+            assert status == 503
+            waits.append(float(headers["Retry-After"]))
+        assert 0.7 < min(waits) and max(waits) < 1.6
+        assert len(set(waits)) > 1
+        await asyncio.sleep(1.1)
+        _, headers, _ = await world.send("/safe/x")
+        assert float(headers["Retry-After"]) < 0.3
+
+    play(scenario, FakeTarget("t-1"))
