--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -18,8 +18,8 @@
 
 # A caller that does not say how long it waits.
 DEFAULT_DEADLINE_S = 30.0
-# After a start of all instances the first state comes after this time: the election of a
-# leader takes 0.6 s and the next poll 0.25 s. Callers that return before it are lost.
+# After a start of all instances the first state comes after this time: the election of
+# a leader takes 0.6 s and the next poll 0.25 s. Callers that return before it are lost.
 FIRST_STATE_S = 1.1
 MIN_START_WAIT_S = 0.2
 # Callers that were refused together don't all return together.
