Let written answers leave before a stopping server resets its connections

A stop resets every connection, also those whose answer is written and still waits for the slow link. Change: a connection that has nothing more to answer is closed, and its bytes get 0.3 s to reach the system; only what is left is reset. Test: httpd/tests/test_server, fails before.

--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -244,6 +244,12 @@
         if self.is_idle() and not self._is_ending:
             self._end()
 
+    def close_when_flushed(self) -> None:
+        """Close a connection that has nothing to answer once its bytes have left."""
+        if self.is_idle() and self.transport is not None:
+            self._is_ending = True
+            self.transport.close()
+
     def abort(self) -> None:
         """Reset the connection."""
         self._is_ending = True
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -1,5 +1,6 @@
 """A listening HTTP server."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -7,6 +8,10 @@
 from toucanwood.httpd._listener import Listener
 from toucanwood.routing import CallerLimits
 
+# The bytes that wait in a process at its stop get this time to reach the system.
+FLUSH_S = 0.3
+FLUSH_POLL_S = 0.01
+
 
 class HttpServer:
     """Accept connections of callers and run a handler for each request."""
@@ -51,9 +56,17 @@
         return sum(not item.is_idle() for item in self.connections)
 
     async def stop(self) -> None:
-        """Stop listening and reset what is left."""
+        """Stop listening, let written answers leave, and reset what is left.
+
+        A reset would discard what waits for a slow link or a slow caller.
+        """
         if self._listener is not None:
             await self._listener.stop()
+        for connection in list(self.connections):
+            connection.close_when_flushed()
+        deadline = asyncio.get_running_loop().time() + FLUSH_S
+        while self.connections and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(FLUSH_POLL_S)
         for connection in list(self.connections):
             connection.abort()
 
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -244,3 +244,29 @@
             writer.close()
 
     asyncio.run(main())
+
+
+# Guards against an answer that was written and is discarded by the reset at the stop of
+# the server: behind a full link the callers of two stopping entries got no answer.
+def test_stop_lets_a_written_answer_leave():
+    body = bytes(3_000_000)
+
+    async def handle(turn):
+        await turn.send(Answer(status=200, body=body))
+
+    async def main():
+        async with run_server(handle) as server:
+            reader, writer = await connect(server)
+            writer.write(build_request("/"))
+            await reader.readuntil(b"\r\n\r\n")
+            while server.connections and not all(
+                item.is_idle() for item in server.connections
+            ):
+                await asyncio.sleep(0.01)
+            stopping = asyncio.create_task(server.stop())
+            received = await reader.readexactly(len(body))
+            await stopping
+            writer.close()
+            assert received == body
+
+    asyncio.run(main())
