Deliver a streamed answer also after the time of its route

A streamed answer, on a slow link one of more than 4.4 KB, was cut at the end of its route's time by a reset of the whole connection, with the answers of the requests behind it. Change: from its first byte on an answer may take until the caller's deadline, and answers up to 16 KB are held whole. Test: gateway/tests/test_outcomes, fails before.

--- a/toucanwood/gateway/_context.py
+++ b/toucanwood/gateway/_context.py
@@ -1,5 +1,6 @@
 """What one request carries from step to step."""
 
+import asyncio
 from typing import Any
 
 import attrs
@@ -71,6 +72,7 @@
     # Set where a relay takes the response in.
     relays: RelayRoute | None = None
     notes: dict[str, Any] = attrs.field(factory=dict)
+    timeout: asyncio.Timeout | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -94,7 +94,7 @@
         deadline = context.deadline_at + TIMEOUT_MARGIN_S
         answer: Answer | None = None
         try:
-            async with asyncio.timeout_at(min(deadline, 1e12)):
+            async with asyncio.timeout_at(min(deadline, 1e12)) as context.timeout:
                 answer = await self._try_targets(context, turn)
         except TimeoutError:
             if turn.is_streaming:
@@ -331,6 +331,10 @@
         message = exchange.message
         headers = drop_hop_by_hop(message.headers.items())
         size = len(exchange.held)
+        if context.timeout is not None:
+            # An answer that has come is delivered, also after the time of its route.
+            last = context.caller_deadline_at + TIMEOUT_MARGIN_S
+            context.timeout.reschedule(min(last, 1e12))
         length = exchange.get_length()
         self._large.note_length(context, length)
         await turn.start(message.code, message.reason, headers, length)
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -32,7 +32,9 @@
 # A response up to the bytes of this time on the link is received in full before the
 # caller gets the first byte, so that a truncated one can be repeated.
 HOLD_S = 0.01
-MIN_HOLD_BYTES = 4096
+# Responses up to this size are always held: one that is cut at the end of its route's
+# time would take the answers behind it on the caller's connection with it.
+MIN_HOLD_BYTES = 16 * 1024
 MAX_HOLD_BYTES = 1024 * 1024
 # Parts of the time for a stop: requests are taken until the first, the port is open
 # until the second, and running requests may end until the third.
--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -9,6 +9,7 @@
     FakeTarget,
     answer,
     cut,
+    encode,
     foreign_first,
     misdirected,
     play,
@@ -440,3 +441,34 @@
         assert float(headers["Retry-After"]) < 0.3
 
     play(scenario, FakeTarget("t-1"))
+
+
+def answer_slowly(body, seconds):
+    """Send the first half of a body at once and the rest after some time."""
+
+    async def step(writer, request):
+        own = request[NAMES.request_id]
+        data = encode(200, [], body, request_id=own)
+        writer.write(data[: len(data) // 2])
+        await asyncio.sleep(seconds)
+        writer.write(data[len(data) // 2 :])
+        await writer.drain()
+        return True
+
+    return step
+
+
+# Guards against an answer that is cut at the end of its route's time, and the connection
+# with the answers behind it: two requests that had run were reset without an answer.
+def test_streamed_answer_is_delivered_after_the_time_of_its_route():
+    async def scenario(world):
+        target = world.targets[0]
+        large = bytes(3_000_000)
+        target.script = [answer_slowly(large, 0.6), answer(body=b"next")]
+        reader, writer = await world.connect()
+        writer.write(world.build_request("/short/x") + world.build_request("/safe/x"))
+        assert (await read_answer(reader))[::2] == (200, large)
+        assert (await read_answer(reader))[::2] == (200, b"next")
+        writer.close()
+
+    play(scenario, FakeTarget("t-1"))
