--- a/toucanwood/gateway/tests/test_outcomes.py
+++ b/toucanwood/gateway/tests/test_outcomes.py
@@ -458,8 +458,8 @@
     return step
 
 
-# Guards against an answer that is cut at the end of its route's time, and the connection
-# with the answers behind it: two requests that had run were reset without an answer.
+# Guards against an answer that is cut at the end of its route's time, and with it the
+# answers behind it: two requests that had run were reset without an answer.
 def test_streamed_answer_is_delivered_after_the_time_of_its_route():
     async def scenario(world):
         target = world.targets[0]
