Bound what a target may send around a response

Cause: aiohttp's parser reads all bytes of a segment at once. Interim responses, blank lines, chunk sizes and extensions without end were read at full speed until the deadline, without a second attempt and without a strike. Bytes behind a complete response made the parser discard it: a request that had run once was answered 502. A malformed chunk left its reader waiting until the deadline.

Change: TargetProtocol gives the parser the bytes of one response only and bounds the head, interim responses, framing, and the bytes kept behind it; the body of a skipped response is bounded too. A breach ends the attempt at once, with one log line and a counter in the metrics.

--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -15,6 +15,9 @@
 # with the id of another request is late or a duplicate; the expected response may
 # follow.
 MAX_FOREIGN_RESPONSES = 3
+# Maximum bytes of the body of a skipped response. A body without end would be read to
+# the deadline of the request.
+MAX_FOREIGN_BODY_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_S = 0.4
 # Bytes that may be queued on a slow link ahead of the reply to a connection attempt:
 # what two targets send before the entry reads.
@@ -180,8 +183,14 @@
         self.buffered_body = b"".join(chunks)
 
     async def _discard_body(self) -> None:
-        while await self.read_chunk():
-            pass
+        size = 0
+        while chunk := await self.read_chunk():
+            size += len(chunk)
+            if size > MAX_FOREIGN_BODY_BYTES:
+                raise TargetError(
+                    f"a response to another request has more than "
+                    f"{MAX_FOREIGN_BODY_BYTES} bytes"
+                )
 
     def _is_ended_by_reset(self) -> bool:
         """Return whether a body without declared length was ended by a reset."""
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -224,6 +224,7 @@
             "entries_known": len(self.feed.entries),
             "targets_known": len(records),
             "targets_ejected": sum(item.health.is_ejected for item in records),
+            "target_protocol_violations": self.client.violations,
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
             "connections_open": len(self.server.connections),
--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -20,6 +20,7 @@
     "/home/": {"kind": "safe", "regions": ["south"]},
 }
 KEY = "secret-key"
+MAX_ENDLESS_WRITES = 20_000
 
 
 @attrs.define
@@ -134,6 +135,51 @@
     return step
 
 
+def respond_endlessly(start, data):
+    """Send some bytes, then others again and again until the entry closes."""
+
+    async def step(writer, request):
+        own_id = request[NAMES.request_id].encode()
+        writer.write(start.replace(b"OWN-ID", own_id))
+        for _ in range(MAX_ENDLESS_WRITES):
+            writer.write(data)
+            await writer.drain()
+            if writer.transport.is_closing():
+                return False
+            await asyncio.sleep(0)
+        raise AssertionError("the entry has not closed the connection")
+
+    return step
+
+
+def respond_with_extra_bytes(body=b"whole", extra=b"\x00junk\r\n\r\n"):
+    """Send a complete response and bytes that belong to no request."""
+
+    async def step(writer, request):
+        own_id = request[NAMES.request_id]
+        writer.write(encode_response(200, [], body, request_id=own_id) + extra)
+        await writer.drain()
+        return True
+
+    return step
+
+
+def respond_after_refusal_of(earlier_id, body=b"own"):
+    """Repeat the refusal of an earlier request, then send the response."""
+
+    async def step(writer, request):
+        headers = [f"{NAMES.not_run}: 1"]
+        refusal = encode_response(
+            503, headers, b"", request_id=earlier_id, signed=False
+        )
+        own_id = request[NAMES.request_id]
+        writer.write(refusal + encode_response(200, [], body, request_id=own_id))
+        await writer.drain()
+        return True
+
+    return step
+
+
 def respond_without_length(body=b"part", *, reset=False):
     """Respond without a Content-Length, then close or reset the connection."""
 
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -11,14 +11,18 @@
     read_response,
     reset_connection,
     respond,
+    respond_after_refusal_of,
+    respond_endlessly,
     respond_misdirected,
     respond_not_run,
     respond_to_another_first,
+    respond_with_extra_bytes,
     respond_without_length,
     run_scenario,
     stay_silent,
 )
 from toucanwood.relay import RelayServer
+from toucanwood.upstream import MIN_IDLE_S
 
 
 def test_response_is_forwarded_with_status_body_and_signature():
@@ -521,3 +525,66 @@
         await relay.stop()
 
     run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+# Guards against an entry that reads bytes without end until the deadline of the request
+# and then fails it, although another target could serve it.
+def test_endless_bytes_before_response_go_to_next_target():
+    chunked = (
+        f"HTTP/1.1 200 X\r\n{NAMES.request_id}: OWN-ID\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        forms = [
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
+            (b"", b"\r\n" * 2000),
+            (chunked, b"0" * 4096),
+        ]
+        for number, (start, data) in enumerate(forms):
+            for target in harness.targets:
+                target.script = [respond_endlessly(start, data)]
+            harness.targets[1].script = []
+            harness.targets[0].received.clear()
+            started = loop.time()
+            while not harness.targets[0].received:
+                status, _, body = await harness.send("/safe/x")
+                assert (status, body) == (200, b"whole")
+            assert loop.time() - started < 1.0
+            assert harness.entry.client.violations == number + 1
+
+    run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
+
+
+# Guards against a 502 for a request that has run once and may not run again, although
+# its response is complete.
+def test_bytes_behind_complete_response_do_not_fail_request():
+    async def scenario(harness):
+        target = harness.targets[0]
+        for path in ("/unsafe/x", "/safe/x"):
+            target.script = [respond_with_extra_bytes(), respond(body=b"next")]
+            assert (await harness.send(path))[::2] == (200, b"whole")
+            await asyncio.sleep(2 * MIN_IDLE_S)
+            assert (await harness.send(path))[::2] == (200, b"next")
+        assert harness.entry.client.reused == 0
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
+
+
+# Guards against "not run" for a request that a target runs, and against a second run of
+# it elsewhere, when a target repeats an earlier refusal on a kept connection.
+def test_repeated_refusal_is_not_taken_for_next_response():
+    async def scenario(harness):
+        target = harness.targets[0]
+        target.script = [respond(), respond_after_refusal_of("id-1")]
+        assert (await harness.send("/safe/x"))[0] == 200
+        await asyncio.sleep(2 * MIN_IDLE_S)
+        assert (await harness.send("/safe/x"))[::2] == (200, b"own")
+        assert harness.entry.client.reused == 1
+        # Only one route kind reuses connections; the other one gets new connections.
+        target.script = [respond_after_refusal_of("id-2")]
+        assert (await harness.send("/unsafe/x"))[::2] == (200, b"own")
+        assert len(target.received) == 3
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
--- a/toucanwood/upstream/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -12,8 +12,8 @@
 from collections.abc import AsyncIterator
 
 import attrs
+import structlog
 from aiohttp.client_exceptions import ClientError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage, StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EofStream, StreamReader
@@ -25,6 +25,9 @@
     TargetRefused,
     open_relayed_connection,
 )
+from toucanwood.upstream._protocol import ProtocolViolation, TargetProtocol
+
+log = structlog.get_logger()
 
 READ_BUFFER_BYTES = 64 * 1024
 MAX_IDLE_PER_TARGET = 8
@@ -33,6 +36,8 @@
 # it is reused. If a target sends two responses to one request, the second response must
 # not be taken for the response to the next request.
 MIN_IDLE_S = 0.02
+# Number of received bytes that are logged when a target violates the protocol.
+LOGGED_BYTES = 64
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -53,20 +58,6 @@
     """Report that no connection to a target was established."""
 
 
-class TargetProtocol(ResponseHandler):
-    """Record whether the connection was closed or reset.
-
-    aiohttp ends a body without a length in the same way for a close and for a reset.
-    """
-
-    was_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 class TargetConnection:
     """Send one request at a time to a target."""
 
@@ -102,6 +93,7 @@
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
         )
+        self._protocol.expect_response()
 
     def write(self, data: bytes, progress: Progress) -> None:
         """Write bytes; `progress.written` is set before any of them can be sent."""
@@ -126,6 +118,7 @@
 
     async def receive(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the head of the final response and its body stream."""
+        self._protocol.expect_following_response()
         try:
             while True:
                 message, body = await self._protocol.read()
@@ -137,7 +130,7 @@
                     _check_head(message)
                     return message, body
         except (ClientError, HttpProcessingError, EofStream, OSError) as error:
-            raise TargetError(f"no valid response: {type(error).__name__}") from error
+            raise TargetError(f"no valid response: {_describe(error)}") from error
 
     @property
     def is_reset(self) -> bool:
@@ -165,6 +158,12 @@
         self._protocol.close()
 
 
+def _describe(error: Exception) -> str:
+    if isinstance(error, ProtocolViolation):
+        return str(error)
+    return type(error).__name__
+
+
 def _check_head(message: RawResponseMessage) -> None:
     """Refuse control characters, which could end a header line for the caller."""
     if _CONTROL_CHARACTER.search(message.reason) or any(
@@ -191,6 +190,7 @@
         self.opened = 0
         self.reused = 0
         self.relayed = 0
+        self.violations = 0
 
     async def open(
         self,
@@ -226,7 +226,7 @@
         host, _, port = address.rpartition(":")
         try:
             _, protocol = await loop.create_connection(
-                lambda: TargetProtocol(loop), host.strip("[]"), int(port)
+                lambda: self._build_protocol(address), host.strip("[]"), int(port)
             )
         except (OSError, ValueError) as error:
             raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
@@ -248,7 +248,7 @@
                 relay, address, link_bytes_per_s=rate, due_in_s=due_in_s
             )
             _, protocol = await loop.create_connection(
-                lambda: TargetProtocol(loop), sock=sock
+                lambda: self._build_protocol(address), sock=sock
             )
         except TargetRefused as error:
             raise TargetUnreachable(str(error)) from error
@@ -263,6 +263,18 @@
         self.relayed += 1
         return TargetConnection(address, protocol)
 
+    def _build_protocol(self, address: str) -> TargetProtocol:
+        def record_violation(reason: str, received: bytes) -> None:
+            self.violations += 1
+            log.warning(
+                "target_violated_protocol",
+                address=address,
+                reason=reason,
+                received=repr(received[:LOGGED_BYTES]),
+            )
+
+        return TargetProtocol(asyncio.get_running_loop(), record_violation)
+
     def _take_idle(self, address: str) -> TargetConnection | None:
         idle = self._idle.get(address)
         now = asyncio.get_running_loop().time()
@@ -322,11 +334,12 @@
             self.close_idle_connections(address)
 
     def dump(self) -> dict[str, int]:
-        """Return the numbers of opened, reused, relayed and idle connections."""
+        """Return the numbers of connections by kind, and of protocol violations."""
         idle = sum(len(connections) for connections in self._idle.values())
         return {
             "opened": self.opened,
             "reused": self.reused,
             "relayed": self.relayed,
             "idle": idle,
+            "violations": self.violations,
         }
--- /dev/null
+++ b/toucanwood/upstream/_protocol.py
@@ -0,0 +1,214 @@
+"""The parsing of responses, one at a time and within bounds.
+
+aiohttp's parser reads all bytes of a segment at once. Bytes behind a complete response
+then discard the response, and a target can send interim responses, blank lines or
+chunk extensions without end. `TargetProtocol` gives the parser the bytes of one
+response only, and bounds all bytes that belong to no head or body.
+"""
+
+import asyncio
+import re
+from collections.abc import Callable
+from enum import Enum
+
+from aiohttp.client_exceptions import ClientError, ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+# Maximum bytes before the end of the head of the final response, which includes blank
+# lines and interim responses.
+MAX_HEAD_BYTES = 64 * 1024
+# Maximum number of interim responses (status 1xx) before the final one.
+MAX_INTERIM_RESPONSES = 8
+# Maximum bytes of chunk sizes, extensions and trailers of a body: a fixed number, and a
+# multiple of the bytes of the body. A chunk of one byte has five bytes of framing.
+MAX_FRAMING_BYTES = 16 * 1024
+MAX_FRAMING_RATIO = 8
+# Maximum bytes that are kept after the end of a response. They may be the next response
+# if the first one was for another request.
+MAX_PENDING_BYTES = 64 * 1024
+_NO_BODY_STATUSES = frozenset({204, 304})
+# The end of a head, and of a chunked body.
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+# A blank line can begin in an earlier segment, by at most this number of bytes.
+_BLANK_LINE_OVERLAP = 2
+
+
+class ProtocolViolation(ClientError):
+    """Report that a target sent more bytes than a response may have."""
+
+
+class _Stage(Enum):
+    # The head of the final response is not complete.
+    HEAD = "head"
+    SIZED_BODY = "sized_body"
+    CHUNKED_BODY = "chunked_body"
+    # A body that ends with the connection.
+    UNSIZED_BODY = "unsized_body"
+    COMPLETE = "complete"
+
+
+class TargetProtocol(ResponseHandler):
+    """Parse one response at a time; keep the bytes behind it unparsed.
+
+    `on_violation` is called with a reason and the latest bytes when a target exceeds a
+    bound. The connection is then closed at once.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_violation: Callable[[str, bytes], None],
+    ) -> None:
+        super().__init__(loop)
+        # aiohttp ends a body without a length in the same way for a close and a reset.
+        self.was_reset = False
+        self._on_violation = on_violation
+        self._stage = _Stage.COMPLETE
+        self._unparsed = b""
+        self._overlap = b""
+        self._head_bytes = 0
+        self._interim_responses = 0
+        self._body_bytes_left = 0
+        self._chunked_bytes = 0
+        self._body: StreamReader | None = None
+
+    @property
+    def should_close(self) -> bool:
+        """Return whether the connection can't be used for another request."""
+        return bool(super().should_close or self._unparsed)
+
+    def expect_response(self) -> None:
+        """Parse the next response; bytes that were kept are its beginning."""
+        self._stage = _Stage.HEAD
+        self._overlap = b""
+        self._head_bytes = self._interim_responses = self._chunked_bytes = 0
+        self._body = None
+        self._parse()
+        if not self._reading_paused:
+            self._resume_reading_for_buffer()
+
+    def expect_following_response(self) -> None:
+        """Parse the response behind a complete one; otherwise do nothing."""
+        if self._stage is _Stage.COMPLETE:
+            self.expect_response()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass the bytes of the current response to the parser."""
+        if not data:
+            # Called by aiohttp to parse the bytes that it held back during a pause.
+            self._pass_to_parser(data)
+        self._unparsed += data
+        self._parse()
+        if len(self._unparsed) > MAX_PENDING_BYTES and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Queue a response head for the reader and find how its body ends."""
+        message, body = data
+        super().feed_data(data, size)
+        if message.code == 101:
+            self._stage = _Stage.COMPLETE
+        elif message.code < 200:
+            self._interim_responses += 1
+        else:
+            self._stage = self._find_body_stage(message)
+            self._body = body
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record whether the connection was reset, and parse all remaining bytes."""
+        self.was_reset = exc is not None
+        while self._unparsed and self.exception() is None and self._parser is not None:
+            self.expect_following_response()
+            if self._reading_paused:
+                break
+        super().connection_lost(exc)
+
+    def _find_body_stage(self, message: RawResponseMessage) -> _Stage:
+        if self._skip_payload or message.code in _NO_BODY_STATUSES:
+            return _Stage.COMPLETE
+        if message.chunked:
+            return _Stage.CHUNKED_BODY
+        length = message.headers.get("Content-Length")
+        if length is None:
+            return _Stage.UNSIZED_BODY
+        self._body_bytes_left = int(length)
+        return _Stage.SIZED_BODY if self._body_bytes_left else _Stage.COMPLETE
+
+    def _parse(self) -> None:
+        """Parse bytes until the end of the response, or until the reader is busy."""
+        while (
+            self._unparsed
+            and self._stage is not _Stage.COMPLETE
+            and self._parser is not None
+            and not self._reading_paused
+        ):
+            piece, self._unparsed = self._split(self._unparsed)
+            self._overlap = piece[-_BLANK_LINE_OVERLAP:]
+            self._pass_to_parser(piece)
+
+    def _pass_to_parser(self, piece: bytes) -> None:
+        stage = self._stage
+        super().data_received(piece)
+        if self.exception() is not None:
+            self._end_after_error()
+        elif violation := self._account(stage, piece):
+            self._abort_response(violation, piece)
+
+    def _split(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the bytes that belong to the current head or body, and the rest."""
+        if self._stage is _Stage.UNSIZED_BODY:
+            return data, b""
+        if self._stage is _Stage.SIZED_BODY:
+            return data[: self._body_bytes_left], data[self._body_bytes_left :]
+        match = _BLANK_LINE.search(self._overlap + data)
+        if match is None:
+            return data, b""
+        end = max(match.end() - len(self._overlap), 1)
+        return data[:end], data[end:]
+
+    def _account(self, stage: _Stage, piece: bytes) -> str | None:
+        """Count a parsed piece; return the bound that it exceeds, or None."""
+        if stage is _Stage.HEAD:
+            self._head_bytes += len(piece)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                return f"more than {MAX_HEAD_BYTES} bytes before the end of the head"
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                return f"more than {MAX_INTERIM_RESPONSES} interim responses"
+        elif stage is _Stage.SIZED_BODY:
+            self._body_bytes_left -= len(piece)
+            if not self._body_bytes_left:
+                self._stage = _Stage.COMPLETE
+        elif stage is _Stage.CHUNKED_BODY and self._body is not None:
+            self._chunked_bytes += len(piece)
+            if self._body.is_eof():
+                self._stage = _Stage.COMPLETE
+                return None
+            if self._reading_paused:
+                # The parser holds bytes back, which are counted but not in the body.
+                return None
+            body_bytes = self._body.total_bytes
+            limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes
+            if self._chunked_bytes - body_bytes > limit:
+                return f"more than {limit} bytes of framing in {body_bytes} body bytes"
+        return None
+
+    def _end_after_error(self) -> None:
+        """End the body that the parser gave up; its reader would wait otherwise."""
+        self._unparsed = b""
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(ClientPayloadError("the body is malformed"))
+
+    def _abort_response(self, reason: str, received: bytes) -> None:
+        self._on_violation(reason, received)
+        error = ProtocolViolation(reason)
+        transport = self.transport
+        self._unparsed = b""
+        self.set_exception(error)
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+        if transport is not None:
+            transport.abort()
