Keep the region of a request when it is retried

Cause: each attempt chose a region and took a part of the other regions' share, so a fleet with retries moved more requests than the cap on shifts allows.

--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -72,23 +72,25 @@
         loop = asyncio.get_running_loop()
         decision = context.decision
         started = loop.time()
-        region = unwrap(
-            self._region_selector.choose(
-                decision.service, decision.home_region, started
+        if not failed_targets:
+            # A retry stays in its region. Another choice would count towards the shift
+            # to other regions, whose cap is meant for requests.
+            decision.region = unwrap(
+                self._region_selector.choose(
+                    decision.service, decision.home_region, started
+                )
             )
-        )
-        decision.region = region
         result = await self._dispatcher.acquire(
             decision.service,
             context.organisation,
-            region,
+            decision.region,
             deadline=context.deadline,
             exclude=tuple(failed_targets),
         )
         if not isinstance(result, Success):
             raise RequestError(failure or result.failure())
         lease = result.unwrap()
-        attempt = Attempt(lease.target_id, lease.address, region, loop.time())
+        attempt = Attempt(lease.target_id, lease.address, decision.region, loop.time())
         attempt.queued = attempt.started - started
         decision.attempts.append(attempt)
         return lease, attempt
--- a/toucanwood/entry/testing.py
+++ b/toucanwood/entry/testing.py
@@ -219,11 +219,13 @@
 
     def __init__(self, region: str = "norte") -> None:
         self.region = region
+        self.choice_count = 0
 
     def choose(
         self, service: str, home_region: str, now: float
     ) -> Result[str, Verdict]:
-        """Return the region."""
+        """Count the choice and return the region."""
+        self.choice_count += 1
         return Success(self.region)
 
 
