Keep the objects of a region in it as far as its slots allow

Cause: an entry gave each target of its own region three times the weight of others, whatever the slots and callers of the regions. With equal callers and slots of 2 to 6 to 8, 43% of the requests left their region, where 21% is enough to fill all targets evenly.

--- a/benchmarks/_placement_model.py
+++ b/benchmarks/_placement_model.py
@@ -11,7 +11,6 @@
 
 from toucanwood.fleet import Target, TargetState
 from toucanwood.placement import (
-    OWN_REGION_WEIGHT,
     LoadReport,
     Outcome,
     Placed,
@@ -19,6 +18,7 @@
     ServicePool,
     TargetRecord,
     TargetSelector,
+    compute_object_weights,
 )
 
 SERVICE = "s"
@@ -200,6 +200,8 @@
             self._targets[name].slowdown = slow_factor
 
     def _build_entries(self, build_pool: PoolBuilder) -> None:
+        # Requests arrive in each region at the same rate.
+        self._demand = dict.fromkeys(self._deployment.entries_by_region, 1.0)
         self._pools: list[ServicePool] = []
         self._pool_indices: dict[str, list[int]] = {}
         for region, count in self._deployment.entries_by_region.items():
@@ -209,7 +211,6 @@
 
     def _build_pool(self, region: str, build_pool: PoolBuilder) -> ServicePool:
         pool = build_pool(TargetSelector(entry_id=region), self._random)
-        weights = {}
         for name, target_region in self._regions.items():
             is_own = target_region == region
             latency = SAME_REGION_LATENCY_S if is_own else OTHER_REGION_LATENCY_S
@@ -226,8 +227,10 @@
                 remaining_cold_start_s=0.0,
             )
             pool.records[name] = TargetRecord(target, target_region, latency)
-            weights[name] = OWN_REGION_WEIGHT if is_own else 1.0
-        pool.selector.ranking.set_targets(weights)
+        records = pool.records.values()
+        pool.selector.ranking.set_targets(
+            compute_object_weights(records, region, self._demand)
+        )
         return pool
 
     def _schedule(self, at: float, callback: Callable[[], None]) -> None:
--- a/toucanwood/controller/_directory.py
+++ b/toucanwood/controller/_directory.py
@@ -96,12 +96,14 @@
         entry = self._entries.get(entry_id)
         return entry.data_centre if entry is not None else None
 
-    def expire(self, now: float) -> None:
-        """Delete the entries that have not announced themselves for a long time."""
+    def expire(self, now: float) -> list[str]:
+        """Delete and return the entries that have been silent for a long time."""
         oldest = now - 20 * ENTRY_TIMEOUT_S
-        for key in [key for key, at in self._received_at.items() if at < oldest]:
+        expired = [key for key, at in self._received_at.items() if at < oldest]
+        for key in expired:
             del self._entries[key]
             del self._received_at[key]
+        return expired
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return the readiness and the announcement age of each entry, by id."""
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -21,6 +21,7 @@
     UsageAnswer,
     encode_payload,
 )
+from toucanwood.controller._region_demand import RegionDemand
 from toucanwood.controller._settings import ControllerSettings
 from toucanwood.controller._target_liveness import TargetLiveness
 from toucanwood.fleet import (
@@ -73,6 +74,7 @@
         self.relay = RelayServer(self._is_target_address)
         self.metrics_server = MetricsServer(self.metrics, settings.metrics)
         self.directory = EntryDirectory(settings.region_by_data_centre)
+        self._region_demand = RegionDemand(self._now())
         self._liveness = TargetLiveness()
         self._quota = QuotaCoordinator()
         self._tasks = TaskGroup()
@@ -259,11 +261,14 @@
             is_ready=request.is_ready,
             load=request.load,
         )
-        self.directory.record_announcement(entry, self._now())
+        now = self._now()
+        self.directory.record_announcement(entry, now)
+        self._region_demand.record(sender, request.region, request.requests, now)
 
     async def _answer_poll(self, sender: str, request: PollFleet) -> FleetUpdate:
         age = self.replica.lease_age()
         entries, checksum = self.list_entries()
+        demand, demand_mark = self._region_demand.get_shares(self._now())
         changes, state = self._encode_changes_since(request.version)
         return FleetUpdate(
             version=self.state.version,
@@ -275,6 +280,8 @@
             relays=self._list_relays(self.directory.find_data_centre(sender)),
             entries=None if checksum == request.entries_mark else entries,
             entries_mark=checksum,
+            demand=None if demand_mark in (0, request.demand_mark) else dict(demand),
+            demand_mark=demand_mark,
         )
 
     def list_entries(self) -> tuple[list[str], int]:
@@ -375,7 +382,7 @@
     async def _expire(self) -> None:
         """Drop expired entries and, as the leader, remove silent targets."""
         now = self._now()
-        self.directory.expire(now)
+        self._region_demand.remove_entries(self.directory.expire(now))
         silent = self._liveness.list_silent(self.state.targets.values(), now)
         if not self.replica.is_leader():
             return
--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -14,7 +14,8 @@
 class AnnounceEntry:
     """Announce the sender as an entry; callers connect to `address`.
 
-    `load` is the busy fraction of the entry: 1 means that it is always busy.
+    `load` is the busy fraction of the entry: 1 means that it is always busy. `requests`
+    is the number of requests that it has received since its start.
     """
 
     address: str = ""
@@ -22,6 +23,7 @@
     data_centre: str = ""
     is_ready: bool = False
     load: float = 0.0
+    requests: int = 0
 
 
 @message(101)
@@ -29,11 +31,13 @@
 class PollFleet:
     """Request the changes of the fleet state since `version`.
 
-    `entries_mark` is the checksum of the list of entries that the sender has.
+    `entries_mark` and `demand_mark` are the checksums of the list of entries and of the
+    shares of the regions that the sender has.
     """
 
     version: int = 0
     entries_mark: int = 0
+    demand_mark: int = 0
 
 
 @message(102)
@@ -57,6 +61,9 @@
     # None if the list still matches the checksum `entries_mark` of the poll.
     entries: list[str] | None = None
     entries_mark: int = 0
+    # The regions' shares in all requests; None if they still match `demand_mark`.
+    demand: dict[str, float] | None = None
+    demand_mark: int = 0
 
 
 @message(103)
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -10,7 +10,6 @@
 
 from toucanwood.fleet import FleetView, Target
 from toucanwood.placement import (
-    OWN_REGION_WEIGHT,
     LoadReport,
     Outcome,
     Placed,
@@ -20,6 +19,7 @@
     ServicePool,
     TargetRecord,
     TargetSelector,
+    compute_object_weights,
 )
 
 log = structlog.get_logger()
@@ -60,6 +60,7 @@
         region: str,
         find_region: Callable[[str], str],
         shift_limiter: RegionShiftLimiter | None,
+        demand: Mapping[str, float],
         on_ejected: Callable[[TargetRecord], None],
     ) -> None:
         self._entry_id = entry_id
@@ -67,6 +68,8 @@
         self._region = region
         self._find_region = find_region
         self._shift_limiter = shift_limiter
+        # The regions' shares in all requests.
+        self.demand = demand
         self._on_ejected = on_ejected
         self._pools: dict[str, ServicePool] = {}
         self._entries: frozenset[str] = frozenset()
@@ -156,12 +159,13 @@
 
     def _compute_target_weights(self, pool: ServicePool) -> dict[str, float]:
         """Return the targets that objects may be assigned to, with their weights."""
-        return {
-            record.id: OWN_REGION_WEIGHT if record.region == self._region else 1.0
+        usable = [
+            record
             for record in pool.records.values()
             if not record.target.is_draining
             and record.target.data_centre not in self._evacuated
-        }
+        ]
+        return compute_object_weights(usable, self._region, self.demand)
 
     def _update_target(self, target: Target, now: float, appeared_at: float) -> None:
         pool = self._get_or_create_pool(target.service)
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -63,10 +63,13 @@
         self._current_index = 0
         self._leader = ""
         self._entries_mark = 0
+        self._demand_mark = 0
         self._poll_timeout_s = POLL_TIMEOUT_S
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
         self.entries: frozenset[str] = frozenset()
+        # The regions' shares in all requests; empty until a controller has sent them.
+        self.demand: dict[str, float] = {}
         self._add_controllers(controllers)
 
     def start(self) -> None:
@@ -127,7 +130,7 @@
         """Poll the selected controller; return whether its state is proven current."""
         loop = asyncio.get_running_loop()
         controller = self._controllers[self._current_index]
-        request = PollFleet(self._view.version, self._entries_mark)
+        request = PollFleet(self._view.version, self._entries_mark, self._demand_mark)
         sent_at = loop.time()
         try:
             update = await self._network.call(
@@ -174,6 +177,11 @@
             self._entries_mark = update.entries_mark
             self._quota.entry_count = max(len(self.entries), 1)
             changed = True
+        if update.demand is not None:
+            log.info("demand_changed", shares=update.demand, before=self.demand)
+            self.demand = update.demand
+            self._demand_mark = update.demand_mark
+            changed = True
         if self._view.revision != revision:
             log.info("routing_applied", revision=self._view.revision, before=revision)
         if changed:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -21,7 +21,12 @@
 from toucanwood.httpd import HttpServer, Responder, Response
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork
-from toucanwood.placement import LinkSchedule, RegionShiftLimiter, RetryBudget
+from toucanwood.placement import (
+    LinkSchedule,
+    RegionShiftLimiter,
+    RetryBudget,
+    compute_even_shares,
+)
 from toucanwood.quota import QuotaEnforcer
 from toucanwood.relay import RelaySelector, StreamPacer
 from toucanwood.routing import CallerLimits
@@ -149,6 +154,7 @@
             region=settings.region,
             find_region=lambda name: settings.region_by_data_centre.get(name, ""),
             shift_limiter=shift_limiter,
+            demand=compute_even_shares(settings.region_by_data_centre),
             on_ejected=lambda record: self.client.close_idle_connections(
                 record.target.address
             ),
@@ -237,9 +243,12 @@
             data_centre=self.settings.data_centre,
             is_ready=self.is_ready(),
             load=round(self.load_meter.measure(asyncio.get_running_loop().time()), 3),
+            requests=sum(self.handler.counts_by_code.values()),
         )
 
     def _on_update(self) -> None:
+        if self.feed.demand:
+            self.dispatcher.demand = self.feed.demand
         self.dispatcher.update(self.view, self.feed.entries)
         if self.is_ready() and not self._is_announced:
             # Look-ups return an entry only after it has announced that it is ready.
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -3,11 +3,14 @@
 The package does no I/O. Functions take the current time in seconds as `now`.
 """
 
-from toucanwood.placement._affinity import OWN_REGION_WEIGHT
 from toucanwood.placement._cold_start import ColdStartLimiter
 from toucanwood.placement._health import Health, Outcome
 from toucanwood.placement._link_schedule import LinkSchedule, Transfer
 from toucanwood.placement._pool import Placed, Refused, ServicePool
+from toucanwood.placement._region_fractions import (
+    compute_even_shares,
+    compute_object_weights,
+)
 from toucanwood.placement._region_shift import RegionShiftLimiter
 from toucanwood.placement._request import PlacementRequest
 from toucanwood.placement._response_times import ResponseTimes
@@ -16,7 +19,6 @@
 from toucanwood.placement._target_record import LoadReport, TargetRecord
 
 __all__ = [
-    "OWN_REGION_WEIGHT",
     "Choice",
     "ColdStartLimiter",
     "Health",
@@ -33,4 +35,6 @@
     "ServicePool",
     "TargetRecord",
     "Transfer",
+    "compute_even_shares",
+    "compute_object_weights",
 ]
--- a/toucanwood/placement/_affinity.py
+++ b/toucanwood/placement/_affinity.py
@@ -30,10 +30,6 @@
 # object is warm at a target that has just appeared.
 NEW_TARGET_FACTOR = 0.3
 NEW_TARGET_S = 4.0
-# Ranking weight of a target in the entry's own region; targets of other regions have
-# the weight 1. An object is requested mostly in one region. A region with few targets
-# still places most of its objects in other regions.
-OWN_REGION_WEIGHT = 3.0
 
 
 @attrs.define
