Repeat a lost first packet to a peer after 0.2 s

Cause: the kernel repeats a lost first packet only after a second. After a power loss of all machines, instances dialled peers that were not listening yet and could not reach them for 1.2 s.

Change: further attempts to connect start 0.2 s apart, and the first that succeeds is used. The new test failed before the change.

--- a/toucanwood/peering/_network.py
+++ b/toucanwood/peering/_network.py
@@ -17,6 +17,10 @@
 from toucanwood.verdicts import Execution
 
 CONNECT_TIMEOUT_S = 1.0
+# Time after which another attempt to connect is started beside those that are pending.
+# The kernel repeats a lost first packet only after a second, and the packet is lost if
+# the machine of the peer is just starting.
+CONNECT_RETRY_S = 0.2
 RETRY_DELAY_S = 0.2
 
 log = structlog.get_logger()
@@ -145,7 +149,7 @@
             raise OSError(f"no address known for instance {peer_id}")
         host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await _open_connection(host, port)
             try:
                 await dial_handshake(
                     reader,
@@ -224,6 +228,44 @@
         self._closed_bytes[1] += connection.received_bytes
 
 
+async def _open_connection(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Return the first of several attempts to connect, started CONNECT_RETRY_S apart.
+
+    Raises OSError when every started attempt has failed.
+    """
+    attempts: set[asyncio.Task[tuple[asyncio.StreamReader, asyncio.StreamWriter]]]
+    attempts = set()
+    try:
+        while True:
+            attempts.add(asyncio.ensure_future(asyncio.open_connection(host, port)))
+            done, _ = await asyncio.wait(
+                attempts,
+                timeout=CONNECT_RETRY_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for attempt in done:
+                if attempt.exception() is None:
+                    attempts.remove(attempt)
+                    return attempt.result()
+            if done == attempts:
+                return done.pop().result()
+            attempts -= done
+    finally:
+        for attempt in attempts:
+            attempt.add_done_callback(_close_unused)
+            attempt.cancel()
+
+
+def _close_unused(
+    attempt: "asyncio.Task[tuple[asyncio.StreamReader, asyncio.StreamWriter]]",
+) -> None:
+    """Close the connection of an attempt that succeeded beside the chosen one."""
+    if not attempt.cancelled() and attempt.exception() is None:
+        attempt.result()[1].transport.abort()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of `ip:port`."""
     host, _, port = address.rpartition(":")
--- a/toucanwood/peering/tests/test_network.py
+++ b/toucanwood/peering/tests/test_network.py
@@ -10,6 +10,7 @@
 
 from toucanwood.peering import PeerNetwork, PeerUnavailable, message
 from toucanwood.peering._connection import IDLE_TIMEOUT_S
+from toucanwood.peering._network import CONNECT_RETRY_S, split_address
 from toucanwood.utils import run_program
 from toucanwood.verdicts import Execution
 
@@ -185,3 +186,40 @@
     finally:
         sys.unraisablehook = previous_hook
     assert not ignored, ignored
+
+
+# Guards against a peer that can't be reached for more than a second because it was not
+# listening yet when the first packet to it was sent.
+def test_lost_first_packet_is_repeated_soon():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        address = find_free_address()
+        host, port = split_address(address)
+        with socket.create_server((host, port), backlog=0):
+            # A listener with a full queue drops further connection attempts.
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+            dialer = PeerNetwork(
+                instance_id="a", address=find_free_address(), secret=b"secret"
+            )
+            dialer.set_address("b", address)
+            started = loop.time()
+            call = asyncio.ensure_future(dialer.call("b", Echo("x"), timeout=3.0))
+            await asyncio.sleep(CONNECT_RETRY_S / 2)
+            for filler in fillers:
+                filler.close()
+        peer = PeerNetwork(instance_id="b", address=address, secret=b"secret")
+
+        async def echo(sender, body):
+            return body
+
+        peer.register(Echo, echo)
+        await peer.start()
+        assert (await call).text == "x"
+        assert loop.time() - started < 0.8
+        await dialer.stop()
+        await peer.stop()
+
+    asyncio.run(scenario())
