Count suspended time in the clock of the event loop

Cause: asyncio's clock stands still while a machine is suspended. A suspended leader woke with a lease and a proven state that others had replaced, and answered what it had received meanwhile from it, until the first reply of a follower.

Change: programs run on an event loop that uses CLOCK_BOOTTIME, so leases, ages and time-outs end during the suspension.

--- a/toucanwood/server/_serve.py
+++ b/toucanwood/server/_serve.py
@@ -8,6 +8,7 @@
 from toucanwood.consensus import StorageError
 from toucanwood.server._instance import Instance
 from toucanwood.settings import Settings
+from toucanwood.utils import run_suspend_aware
 from toucanwood.utils.logs import configure_logging
 
 EXIT_OK = 0
@@ -23,7 +24,7 @@
     directory.
     """
     configure_logging()
-    return asyncio.run(_serve(settings))
+    return run_suspend_aware(_serve(settings))
 
 
 async def _serve(settings: Settings) -> int:
--- a/toucanwood/utils/__init__.py
+++ b/toucanwood/utils/__init__.py
@@ -1,7 +1,13 @@
 """Validation, background tasks and other helpers shared by all packages."""
 
+from toucanwood.utils._event_loop import run_suspend_aware
 from toucanwood.utils._process import Program, run_program
-from toucanwood.utils._tasks import TaskGroup, cancel_and_wait, run_periodically
+from toucanwood.utils._tasks import (
+    TaskGroup,
+    cancel_and_wait,
+    run_periodically,
+    run_step,
+)
 from toucanwood.utils._validation import (
     FieldError,
     MappingReader,
@@ -23,5 +29,7 @@
     "load_yaml",
     "run_periodically",
     "run_program",
+    "run_step",
+    "run_suspend_aware",
     "run_virtual",
 ]
--- a/toucanwood/utils/_process.py
+++ b/toucanwood/utils/_process.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from toucanwood.utils._event_loop import run_suspend_aware
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 
@@ -38,7 +40,7 @@
     A program that fails ends the process with status 1 as well; it is closed without a
     graceful stop.
     """
-    return asyncio.run(_run(create_program, on_hangup))
+    return run_suspend_aware(_run(create_program, on_hangup))
 
 
 async def _run(
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -58,13 +58,18 @@
 ) -> None:
     """Call `step` periodically; log an exception of a call and continue."""
     while True:
-        try:
-            await step()
-        except Exception as error:
-            log.error("step_failed", task=name, error=repr(error))
+        await run_step(step, name=name)
         await asyncio.sleep(interval_s)
 
 
+async def run_step(step: Callable[[], Awaitable[object]], *, name: str) -> None:
+    """Call `step`; log an exception of the call."""
+    try:
+        await step()
+    except Exception as error:
+        log.error("step_failed", task=name, error=repr(error))
+
+
 async def cancel_and_wait(task: asyncio.Task[Any] | None) -> None:
     """Cancel a task, if there is one, and wait until it has ended."""
     if task is None:
--- a/toucanwood/utils/tests/test_process.py
+++ b/toucanwood/utils/tests/test_process.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import signal
+import time
+from unittest import mock
 
 from structlog.testing import capture_logs
 
@@ -73,3 +75,29 @@
     program.start = start
     status = run_program(lambda: program, on_hangup=lambda: hangups.append(1))
     assert status == 0 and program.is_stopped and hangups == [1]
+
+
+# Guards against a leader that keeps its lease, and a state that counts as current,
+# while the machine is suspended: CLOCK_MONOTONIC stands still then.
+def test_clock_of_a_program_goes_on_while_the_machine_is_suspended():
+    suspended_s = 0.0
+    read_clock = time.clock_gettime
+
+    def read_clock_after_suspension(clock):
+        return read_clock(clock) + suspended_s * (clock == time.CLOCK_BOOTTIME)
+
+    class SuspendedProgram(FakeProgram):
+        async def wait_failed(self):
+            nonlocal suspended_s
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            expired = loop.create_future()
+            loop.call_later(30.0, expired.set_result, None)
+            suspended_s = 60.0
+            await asyncio.wait_for(asyncio.shield(expired), 5.0)
+            return f"{loop.time() - started:.0f} s"
+
+    with mock.patch.object(time, "clock_gettime", read_clock_after_suspension):
+        with capture_logs() as lines:
+            assert run_program(SuspendedProgram, on_hangup=lambda: None) == 1
+    assert [line["reason"] for line in lines] == ["60 s"]
