Hold requests until the first fleet state, and get it from any controller

Cause: a started entry polled one controller after the other, with 0.5 s for each that did not answer, and refused all requests meanwhile.

Change: before its first state an entry probes three controllers at once, without the state in the answer, and takes it from the first one whose state is proven. Requests are held until then, at most 2 s after the start and half of the caller's time.

--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -1,6 +1,7 @@
 """The checks that a request must pass before it is forwarded."""
 
 import asyncio
+import contextlib
 import itertools
 import math
 import random
@@ -23,6 +24,13 @@
 # earlier is refused again, and its request is lost.
 FIRST_STATE_DELAY_S = 1.1
 MIN_START_RETRY_AFTER_S = 0.2
+# Time from its start until which an entry holds requests that arrive before its first
+# fleet state. After FIRST_STATE_WAIT_S of the feed it accepts a state that is not
+# proven, so without a state now no controller can be reached.
+MAX_START_HOLD_S = 2.0
+# Maximum fraction of a caller's remaining time for which its request is held. The rest
+# is left for the request itself, or for a retry elsewhere.
+MAX_HOLD_FRACTION = 0.5
 # Largest random factor on Retry-After during the start, so that callers that were
 # refused at the same time don't all retry at the same time.
 MAX_START_JITTER_FACTOR = 1.4
@@ -85,15 +93,14 @@
         self._generated_ids = itertools.count(1)
         self._started_at = asyncio.get_running_loop().time()
         self._random = random.Random()
+        self._has_routing = asyncio.Event()
 
     async def admit(self, request: CallerRequest, now: float) -> RequestContext:
         """Return the context of the request; raise RequestError if it is refused."""
         table = self._view.table
         if table is None:
-            message = "this entry has no routing table yet"
-            raise _refuse(
-                "no_routing", message, 503, self._choose_start_retry_after(now)
-            )
+            table = await self._wait_for_routing(request, now)
+            now = asyncio.get_running_loop().time()
         if self._is_refusing_requests():
             raise _refuse("stopping", "this entry is stopping", 503, 0.0)
         route = self._find_route(table, request)
@@ -105,6 +112,35 @@
             raise _refuse("over_quota", message, 429, OVER_QUOTA_RETRY_AFTER_S)
         return context
 
+    def release_held_requests(self) -> None:
+        """Continue the requests that were held until the first fleet state."""
+        self._has_routing.set()
+
+    async def _wait_for_routing(
+        self, request: CallerRequest, now: float
+    ) -> RoutingTable:
+        """Hold a request until the first fleet state; raise RequestError if none comes.
+
+        After a restart of all instances the state follows within a second, and a caller
+        that is refused twice gives up.
+        """
+        remaining = self._header_names.read_remaining_time(request.headers)
+        held_until = min(
+            self._started_at + MAX_START_HOLD_S,
+            now + MAX_HOLD_FRACTION * (remaining or DEFAULT_DEADLINE_S),
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(held_until):
+                await self._has_routing.wait()
+        table = self._view.table
+        if table is None:
+            retry_after = self._choose_start_retry_after(
+                asyncio.get_running_loop().time()
+            )
+            message = "this entry has no routing table yet"
+            raise _refuse("no_routing", message, 503, retry_after)
+        return table
+
     def _find_route(self, table: RoutingTable, request: CallerRequest) -> Route:
         host = request.headers.get("Host", "").lower()
         route = table.match(host, request.path)
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -17,7 +17,7 @@
 from toucanwood.fleet import FleetView
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaEnforcer
-from toucanwood.utils import TaskGroup, ValidationError, run_periodically
+from toucanwood.utils import TaskGroup, ValidationError, run_periodically, run_step
 
 log = structlog.get_logger()
 
@@ -31,6 +31,16 @@
 USAGE_TIMEOUT_S = 0.4
 # Maximum age of a polled state that is accepted as proven current.
 MAX_STATE_AGE_S = 1.0
+# Interval between the probes of each controller before the first state, and timeout of
+# a probe.
+PROBE_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 0.25
+# Number of controllers that are probed at the same time, and time after which the next
+# ones are probed.
+PROBED_CONTROLLERS = 3
+PROBE_ROUND_S = 0.5
+# Version in a probe. It is newer than that of any state, so no answer carries a state.
+PROBE_VERSION = 2**62
 # Time from its start after which an entry without any fleet state also accepts a state
 # that is not proven current.
 FIRST_STATE_WAIT_S = 1.5
@@ -74,8 +84,8 @@
 
     def start(self) -> None:
         """Start the polls, announcements and usage reports."""
+        self._tasks.start(self._follow_state(), name="poll-fleet")
         periodic_steps = (
-            (self._poll_with_failover, POLL_INTERVAL_S, "poll-fleet"),
             (self._announce, ANNOUNCE_INTERVAL_S, "announce-entry"),
             (self._report_usage, USAGE_INTERVAL_S, "report-usage"),
         )
@@ -115,6 +125,72 @@
     async def _announce(self) -> None:
         self.announce()
 
+    async def _follow_state(self) -> None:
+        """Get the first state, then poll for its changes."""
+        while self._view.table is None:
+            await run_step(self._get_first_state, name="first-state")
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        await run_periodically(
+            self._poll_with_failover, POLL_INTERVAL_S, name="poll-fleet"
+        )
+
+    async def _get_first_state(self) -> None:
+        is_selected = await self._select_current_controller()
+        if is_selected or self._has_waited_for_proof():
+            await self._poll_with_failover()
+
+    def _has_waited_for_proof(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self._started_at > FIRST_STATE_WAIT_S
+
+    async def _select_current_controller(self) -> bool:
+        """Probe several controllers at once; select the first with a proven state.
+
+        Return whether there is one. The answers to probes carry no state: several
+        copies would delay each other on a slow link.
+        """
+        known = len(self._controllers)
+        indexes = {
+            (self._current_index + offset) % known
+            for offset in range(min(PROBED_CONTROLLERS, known))
+        }
+        probes = {
+            asyncio.ensure_future(self._probe_until_proven(index)): index
+            for index in indexes
+        }
+        try:
+            done, _ = await asyncio.wait(
+                probes, timeout=PROBE_ROUND_S, return_when=asyncio.FIRST_COMPLETED
+            )
+            for probe in done:
+                probe.result()
+                self._current_index = probes[probe]
+            if not done:
+                self._current_index = (self._current_index + len(indexes)) % known
+            return bool(done)
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+    async def _probe_until_proven(self, index: int) -> None:
+        while not await self._probe(self._controllers[index]):
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self, controller: str) -> bool:
+        """Return whether the state of a controller is proven current."""
+        request = PollFleet(PROBE_VERSION, self._entries_mark, self._demand_mark)
+        try:
+            update = await self._network.call(
+                controller, request, timeout=PROBE_TIMEOUT_S
+            )
+        except PeerUnavailable as error:
+            log.debug("controller_unreachable", id=controller, reason=str(error))
+            return False
+        if not isinstance(update, FleetUpdate):
+            return False
+        self._add_controllers(update.controllers)
+        return _is_proven(update)
+
     async def _poll_with_failover(self) -> None:
         """Poll one controller; select the next one after a failure or a stale state."""
         is_current = False
@@ -147,9 +223,9 @@
         self._add_controllers(update.controllers)
         self._leader = update.leader or self._leader
         self._on_relays(update.relays)
-        is_proven = 0 <= update.age_s <= MAX_STATE_AGE_S
-        has_waited = sent_at - self._started_at > FIRST_STATE_WAIT_S
-        if not (is_proven or (self._view.table is None and has_waited)):
+        is_proven = _is_proven(update)
+        may_be_stale = self._view.table is None and self._has_waited_for_proof()
+        if not (is_proven or may_be_stale):
             return False
         if update.version < self._view.version:
             return False
@@ -217,3 +293,7 @@
 
     def _log_lost_controller(self, controller: str, reason: str) -> None:
         log.info("controller_lost", id=controller, reason=reason)
+
+
+def _is_proven(update: FleetUpdate) -> bool:
+    return 0 <= update.age_s <= MAX_STATE_AGE_S
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -182,7 +182,7 @@
             load_meter=self.load_meter,
             connect_timeout_s=compute_connect_timeout(settings.link_bytes_per_s),
         )
-        admission = Admission(
+        self.admission = Admission(
             view=self.view,
             header_names=self.header_names,
             quota=self.quota,
@@ -190,7 +190,7 @@
             is_state_current=self._is_state_current,
         )
         self.handler = RequestHandler(
-            admission=admission,
+            admission=self.admission,
             forwarder=forwarder,
             header_names=self.header_names,
             metrics=self.metrics,
@@ -250,6 +250,8 @@
         if self.feed.demand:
             self.dispatcher.demand = self.feed.demand
         self.dispatcher.update(self.view, self.feed.entries)
+        if self.view.table is not None:
+            self.admission.release_held_requests()
         if self.is_ready() and not self._is_announced:
             # Look-ups return an entry only after it has announced that it is ready.
             self._is_announced = True
--- /dev/null
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -0,0 +1,91 @@
+"""Tests of the feed client with simulated controllers, in virtual time."""
+
+import asyncio
+
+import attrs
+
+from toucanwood.controller import FleetUpdate
+from toucanwood.controller._messages import encode_payload
+from toucanwood.fleet import FleetView
+from toucanwood.gateway._feed_client import PROBE_INTERVAL_S, FeedClient
+from toucanwood.gateway.tests.harness import build_routing_document
+from toucanwood.peering import PeerUnavailable
+from toucanwood.quota import QuotaEnforcer
+from toucanwood.utils import run_virtual
+from toucanwood.verdicts import Execution
+
+ROUND_TRIP_S = 0.07
+STATE = encode_payload([1, build_routing_document(), [], []])
+
+
+@attrs.define
+class SimulatedControllers:
+    """Answer the polls of an entry; `proven_from` is a time for each controller.
+
+    A controller with the time None does not answer.
+    """
+
+    proven_from: dict
+    sent_states: int = 0
+
+    def set_address(self, controller, address):
+        pass
+
+    def send(self, controller, message):
+        return True
+
+    async def call(self, controller, request, *, timeout):
+        proven_from = self.proven_from[controller]
+        if proven_from is None:
+            await asyncio.sleep(timeout)
+            raise PeerUnavailable(controller, "no answer", Execution.NOT_RUN)
+        await asyncio.sleep(ROUND_TRIP_S)
+        has_state = request.version < 1
+        self.sent_states += has_state
+        is_proven = asyncio.get_running_loop().time() >= proven_from
+        return FleetUpdate(
+            version=1,
+            age_s=0.1 if is_proven else -1.0,
+            state=STATE if has_state else None,
+            controllers=sorted(self.proven_from),
+        )
+
+
+def measure_first_state(proven_from):
+    """Return after how many seconds an entry has a state, and how many were sent."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        network = SimulatedControllers(proven_from)
+        view = FleetView()
+        arrived = loop.create_future()
+        client = FeedClient(
+            network=network,
+            view=view,
+            quota=QuotaEnforcer(),
+            build_announcement=lambda: None,
+            on_update=lambda: arrived.done() or arrived.set_result(loop.time()),
+            on_relays=lambda relays: None,
+            peer_port=1,
+            controllers=tuple(proven_from),
+        )
+        started = loop.time()
+        client.start()
+        at = await asyncio.wait_for(arrived, 10.0)
+        await client.stop()
+        return at - started, network.sent_states
+
+    return run_virtual(main())
+
+
+# Guards against an entry that waits for one controller after the other after a start of
+# all instances, and against copies of the state that delay each other on a slow link.
+def test_first_state_comes_from_any_controller_that_has_one():
+    seconds, states = measure_first_state({"a": None, "b": 100.0, "c": 0.5})
+    assert seconds < 0.5 + PROBE_INTERVAL_S + 3 * ROUND_TRIP_S
+    assert states == 1
+
+
+def test_first_state_without_proof_is_accepted_after_a_wait():
+    seconds, _ = measure_first_state({"a": 100.0})
+    assert 1.5 < seconds < 2.0
