--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -105,6 +105,9 @@
             return self.refuse(request, "no_room" if has_target else "no_target", now)
         if now + choice.expected_s <= request.objective_at:
             return Placed(choice, "in_time")
+        if now + choice.expected_s > request.deadline_at:
+            # The run would be cut off, after it has taken a slot from other requests.
+            return self.refuse(request, "past_deadline", now, choice.expected_s)
         if self._may_run_late(choice, now):
             return Placed(choice, "late")
         return self.refuse(request, "would_be_late", now, choice.expected_s)
