Give up no target because the controller missed announcements

Cause: a leader compared the last announcement that it knew with the time, also right after it was cut off, frozen, or elected. Announcements to other controllers in that time were unknown to it, so it removed targets that had never been silent.

Change: only the time counts in which the controller has led and checked without a break. The new test failed before; a test that checked only once now checks each second as the controller does.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -80,7 +80,6 @@
         self._tasks = TaskGroup()
         self._controllers: dict[str, float] = {}
         self._data_centres: dict[str, str] = {settings.id: settings.data_centre}
-        self._led_since: float | None = None
         self._cached_entries: tuple[list[str], int] = ([], 0)
         self._entries_cached_at = float("-inf")
         self._cached_table: tuple[int, RoutingTable | None] = (0, None)
@@ -383,9 +382,10 @@
         """Drop expired entries and, as the leader, remove silent targets."""
         now = self._now()
         self._region_demand.remove_entries(self.directory.expire(now))
-        silent = self._liveness.list_silent(self.state.targets.values(), now)
         if not self.replica.is_leader():
+            self._liveness.stop_checking()
             return
+        silent = self._liveness.list_silent(self.state.targets.values(), now)
         for target in silent:
             log.info("target_silent", target=target.id, service=target.service)
             order = RemoveTarget(target.id, target.start_time_ms, target.sequence)
--- a/toucanwood/controller/_target_liveness.py
+++ b/toucanwood/controller/_target_liveness.py
@@ -10,6 +10,9 @@
 # Targets announce themselves about every 1.5 s. A target without an announcement for
 # this time has crashed or cannot reach any controller.
 TARGET_TIMEOUT_S = 10.0
+# Interval between checks above which the process was frozen or its machine suspended,
+# so that announcements may have been missed.
+MAX_CHECK_INTERVAL_S = 3.0
 # Minimum increase of the remaining cold start time between two announcements that
 # counts as a new cold start.
 COLD_START_MARGIN_S = 0.1
@@ -35,6 +38,9 @@
 
     _by_id: dict[str, _Announcement] = attrs.field(factory=dict)
     _unshared: dict[str, list[Any]] = attrs.field(factory=dict)
+    # Since when this controller has checked without a break, and its last check.
+    _checking_since: float | None = None
+    _checked_at: float = float("-inf")
 
     def record_announcement(self, target: Target, now: float) -> bool:
         """Record an announcement; return whether it reports a new cold start."""
@@ -73,18 +79,27 @@
     def list_silent(self, targets: Iterable[Target], now: float) -> list[Target]:
         """Return the targets without an announcement to any controller for too long.
 
-        The timeout of a target without any record starts at this call.
+        Only the time counts in which this controller has checked without a break: a
+        controller that was cut off, frozen or not leading may have missed
+        announcements to others.
         """
+        if self._checking_since is None or now - self._checked_at > (
+            MAX_CHECK_INTERVAL_S
+        ):
+            self._checking_since = now
+        self._checked_at = now
         silent = []
         for target in targets:
-            known = self._by_id.setdefault(
-                target.id,
-                _Announcement(target.start_time_ms, target.sequence, 0.0, now),
-            )
-            if now - known.received_at > TARGET_TIMEOUT_S:
+            known = self._by_id.get(target.id)
+            received_at = known.received_at if known is not None else float("-inf")
+            if now - max(received_at, self._checking_since) > TARGET_TIMEOUT_S:
                 silent.append(target)
         return silent
 
+    def stop_checking(self) -> None:
+        """Let the time of the next check start anew, after leadership was lost."""
+        self._checking_since = None
+
     def remove(self, target_id: str) -> None:
         """Delete the record of a target that has left."""
         self._by_id.pop(target_id, None)
--- a/toucanwood/controller/tests/test_directory.py
+++ b/toucanwood/controller/tests/test_directory.py
@@ -39,11 +39,19 @@
     assert directory.look_up("north", "a", ENTRY_TIMEOUT_S + 0.1) == []
 
 
+def check_each_second(liveness, start, seconds):
+    """Check once a second; return the targets that are silent at the end."""
+    silent = []
+    for second in range(int(seconds) + 1):
+        silent = liveness.list_silent([TARGET], start + second)
+    return silent
+
+
 def test_target_announced_to_another_controller_is_not_silent():
     liveness = TargetLiveness()
     liveness.record_announcement(TARGET, 0.0)
     now = TARGET_TIMEOUT_S + 1.0
-    assert liveness.list_silent([TARGET], now) == [TARGET]
+    assert check_each_second(liveness, 0.0, now) == [TARGET]
     liveness.merge_shared([["t-1", 1, 5]], now)
     assert liveness.list_silent([TARGET], now) == []
 
@@ -51,7 +59,23 @@
 def test_new_leader_waits_before_targets_count_as_silent():
     liveness = TargetLiveness()
     assert liveness.list_silent([TARGET], 1000.0) == []
-    assert liveness.list_silent([TARGET], 1000.0 + TARGET_TIMEOUT_S + 1) == [TARGET]
+    assert check_each_second(liveness, 1000.0, TARGET_TIMEOUT_S + 1) == [TARGET]
+
+
+# Guards against targets that are given up because the controller itself was cut off,
+# frozen or suspended and then leads: their announcements went to others meanwhile.
+def test_leader_that_missed_announcements_gives_up_no_target():
+    liveness = TargetLiveness()
+    liveness.record_announcement(TARGET, 0.0)
+    assert liveness.list_silent([TARGET], 0.0) == []
+    frozen_until = TARGET_TIMEOUT_S + 20.0
+    assert liveness.list_silent([TARGET], frozen_until) == []
+    assert check_each_second(liveness, frozen_until, TARGET_TIMEOUT_S - 1.0) == []
+    liveness.stop_checking()
+    leading_from = frozen_until + TARGET_TIMEOUT_S
+    assert liveness.list_silent([TARGET], leading_from) == []
+    end = check_each_second(liveness, leading_from, TARGET_TIMEOUT_S + 1.0)
+    assert end == [TARGET]
 
 
 def simulate_look_ups(*, entries=20, callers=400, seconds=30, seed=1):
