Take the newest of the unproven states after a start without a leader

Cause: an entry that starts while there is no leader accepts a state without proof after 1.5 s, from the first controller that answers. One that was down itself may lack the withdrawal of a key or of a target, which was then in use again.

Change: the entry takes the state of the newest version among the controllers that answered its probes. The new test failed before the change.

--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -77,6 +77,8 @@
         self._poll_timeout_s = POLL_TIMEOUT_S
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
+        # Versions of the controllers that answered a probe, by index.
+        self._probed_versions: dict[int, int] = {}
         self.entries: frozenset[str] = frozenset()
         # The regions' shares in all requests; empty until a controller has sent them.
         self.demand: dict[str, float] = {}
@@ -136,7 +138,15 @@
 
     async def _get_first_state(self) -> None:
         is_selected = await self._select_current_controller()
-        if is_selected or self._has_waited_for_proof():
+        if not is_selected and self._has_waited_for_proof() and self._probed_versions:
+            # Without a leader, no state can be proven. A controller that has just been
+            # started may lack the withdrawal of a key or of a target.
+            self._current_index, _ = max(
+                self._probed_versions.items(), key=lambda item: item[1]
+            )
+            self._probed_versions.pop(self._current_index)
+            is_selected = True
+        if is_selected:
             await self._poll_with_failover()
 
     def _has_waited_for_proof(self) -> bool:
@@ -173,11 +183,12 @@
                 probe.cancel()
 
     async def _probe_until_proven(self, index: int) -> None:
-        while not await self._probe(self._controllers[index]):
+        while not await self._probe(index):
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    async def _probe(self, controller: str) -> bool:
-        """Return whether the state of a controller is proven current."""
+    async def _probe(self, index: int) -> bool:
+        """Return whether the state of a controller is proven; record its version."""
+        controller = self._controllers[index]
         request = PollFleet(PROBE_VERSION, self._entries_mark, self._demand_mark)
         try:
             update = await self._network.call(
@@ -189,6 +200,7 @@
         if not isinstance(update, FleetUpdate):
             return False
         self._add_controllers(update.controllers)
+        self._probed_versions[index] = update.version
         return _is_proven(update)
 
     async def _poll_with_failover(self) -> None:
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -26,6 +26,7 @@
     """
 
     proven_from: dict
+    versions: dict = attrs.field(factory=dict)
     sent_states: int = 0
 
     def set_address(self, controller, address):
@@ -40,23 +41,24 @@
             await asyncio.sleep(timeout)
             raise PeerUnavailable(controller, "no answer", Execution.NOT_RUN)
         await asyncio.sleep(ROUND_TRIP_S)
-        has_state = request.version < 1
+        version = self.versions.get(controller, 1)
+        has_state = request.version < version
         self.sent_states += has_state
         is_proven = asyncio.get_running_loop().time() >= proven_from
         return FleetUpdate(
-            version=1,
+            version=version,
             age_s=0.1 if is_proven else -1.0,
             state=STATE if has_state else None,
             controllers=sorted(self.proven_from),
         )
 
 
-def measure_first_state(proven_from):
-    """Return after how many seconds an entry has a state, and how many were sent."""
+def get_first_state(proven_from, versions=()):
+    """Return when an entry got its first state, its version, and the states sent."""
 
     async def main():
         loop = asyncio.get_running_loop()
-        network = SimulatedControllers(proven_from)
+        network = SimulatedControllers(proven_from, dict(versions))
         view = FleetView()
         arrived = loop.create_future()
         client = FeedClient(
@@ -73,7 +75,7 @@
         client.start()
         at = await asyncio.wait_for(arrived, 10.0)
         await client.stop()
-        return at - started, network.sent_states
+        return at - started, view.version, network.sent_states
 
     return run_virtual(main())
 
@@ -81,11 +83,19 @@
 # Guards against an entry that waits for one controller after the other after a start of
 # all instances, and against copies of the state that delay each other on a slow link.
 def test_first_state_comes_from_any_controller_that_has_one():
-    seconds, states = measure_first_state({"a": None, "b": 100.0, "c": 0.5})
+    seconds, _, states = get_first_state({"a": None, "b": 100.0, "c": 0.5})
     assert seconds < 0.5 + PROBE_INTERVAL_S + 3 * ROUND_TRIP_S
     assert states == 1
 
 
 def test_first_state_without_proof_is_accepted_after_a_wait():
-    seconds, _ = measure_first_state({"a": 100.0})
+    seconds, _, _ = get_first_state({"a": 100.0})
     assert 1.5 < seconds < 2.0
+
+
+# Guards against a key or a target that is in use again after a restart of the entry: a
+# controller that was down meanwhile does not know that it was withdrawn.
+def test_first_state_without_proof_is_the_newest_one():
+    proven_from = dict.fromkeys("abcd", 100.0)
+    _, version, _ = get_first_state(proven_from, {"a": 3, "b": 7, "c": 8, "d": 5})
+    assert version == 8
