--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -416,6 +416,7 @@
     choice = lease.placed.choice
     record = choice.record
     now = lease.started_at
+    report_age = record.get_report_age(now)
     return Attempt(
         target=record.id,
         reason=lease.placed.reason,
@@ -423,7 +424,7 @@
         warm_probability=choice.warm_probability,
         load=record.estimate_load(now),
         slots=record.target.slots,
-        report_age_ms=round(min(record.get_report_age(now), 1e6) * 1000),
+        report_age_ms=round(report_age * 1000) if report_age < math.inf else None,
         slowdown=record.estimate_slowdown(now),
     )
 
--- a/toucanwood/gateway/_request_context.py
+++ b/toucanwood/gateway/_request_context.py
@@ -25,17 +25,21 @@
     warm_probability: float
     load: float
     slots: int
-    report_age_ms: int
+    # None if this entry has no load report of the target yet.
+    report_age_ms: int | None
     slowdown: float
     outcome: str = ""
     duration_ms: int = 0
 
     def format(self) -> str:
         """Return the record as one string without spaces, for the log."""
+        report = (
+            f":report={self.report_age_ms}ms" if self.report_age_ms is not None else ""
+        )
         return (
             f"{self.target}:{self.reason}:{self.outcome}:{self.duration_ms}ms"
             f":expected={self.expected_ms}ms:warm={self.warm_probability:g}"
-            f":load={self.load:.1f}/{self.slots}:report={self.report_age_ms}ms"
+            f":load={self.load:.1f}/{self.slots}{report}"
             f":slow={self.slowdown:.1f}"
         )
 
