--- a/toucanwood/server/_serve.py
+++ b/toucanwood/server/_serve.py
@@ -36,10 +36,13 @@
         await instance.start()
     except (StorageError, OSError) as error:
         log.error("start_failed", id=settings.id, reason=str(error))
+        await instance.close()
         return EXIT_FAILED
     failure_task = asyncio.create_task(instance.wait_failed())
     if not await _wait_event_before_task(stop_requested, failure_task):
-        return _report_failure(settings, failure_task)
+        _report_failure(settings, failure_task)
+        await instance.close()
+        return EXIT_FAILED
     stop_task = asyncio.create_task(_drain_and_stop(instance))
     is_interrupted = await _wait_event_before_task(kill_requested, stop_task)
     if is_interrupted:
@@ -64,14 +67,13 @@
     return event.is_set()
 
 
-def _report_failure(settings: Settings, failure_task: "asyncio.Task[str]") -> int:
+def _report_failure(settings: Settings, failure_task: "asyncio.Task[str]") -> None:
     reason = (
         failure_task.result()
         if failure_task.exception() is None
         else failure_task.exception()
     )
     log.error("data_dir_failed", id=settings.id, reason=str(reason))
-    return EXIT_FAILED
 
 
 def _handle_signals(
