Count runs that are cut off in the medians of response times

Cause: only runs that ended in time were learned from, so the median for cold objects stayed below the time-out of the route.

Change: a run that is cut off counts with its time if that is above the median. The new test failed before.

--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -148,11 +148,13 @@
             self._record_shared_slowdown(seconds / expected)
             times.record(seconds, warm_probability)
         elif outcome is Outcome.TIMED_OUT:
-            # The response would have taken at least this time.
-            expected = (
-                self.find_response_times(request).estimate(warm_probability)
-                * self._shared_slowdown
-            )
+            # The response would have taken at least this time. Without the runs that
+            # are cut off, the median of long runs would seem to be below the time-out.
+            times = self.find_response_times(request)
+            median = times.estimate(warm_probability)
+            expected = median * self._shared_slowdown
+            if seconds > median:
+                times.record(seconds, warm_probability)
             record.record_response_time(max(seconds, expected), expected)
         elif outcome is Outcome.SHED and report is None:
             # A target that sheds a request is full, whatever its last report was.
--- a/toucanwood/placement/tests/test_decisions.py
+++ b/toucanwood/placement/tests/test_decisions.py
@@ -463,3 +463,19 @@
     assert isinstance(pool.place(late, 0.0), Placed)
     refused = pool.place(attrs.evolve(late, deadline_at=0.2), 0.0)
     assert isinstance(refused, Refused) and refused.reason == "past_deadline"
+
+
+# Guards against runs for a cold object that nearly always end at the time-out: only the
+# few that were in time were learned from.
+def test_runs_that_are_cut_off_raise_the_expected_time():
+    pool = build_pool(1)
+    learn_response_times(pool, cold_s=0.9, warm_s=0.3)
+    request = build_request(object_key="o", deadline_at=1.0)
+    choice = Choice(pool.records["t-0"], 0.9, True, 0.03, False)
+    for _ in range(20):
+        placed = Placed(choice, "late")
+        placed = attrs.evolve(placed, number=pool.start(placed, request, 0.0))
+        finish(pool, placed, request, 1.0, Outcome.TIMED_OUT, seconds=1.0)
+    times = pool.find_response_times(request)
+    assert times.get_cold_median() > 0.99
+    assert times.get_warm_median() == 0.3
