Tell the end of a relay from the end of a response

Cause: when the process of a relay is killed, its connections are closed as a target closes one. A body without a length that was on its way then looked complete, and the caller got a part of it as a success.

Change: a relay sends a mark that the entry has chosen after the end of the target's connection, and the entry takes a body without a length as complete only with it. A relay that does not know the mark refuses, and the entry connects directly. The new test of the entry failed before the change.

--- a/toucanwood/relay/__init__.py
+++ b/toucanwood/relay/__init__.py
@@ -14,9 +14,11 @@
     open_relayed_connection,
 )
 from toucanwood.relay._pacing import PIECE_BYTES, StreamPacer
+from toucanwood.relay._protocol import END_MARK_BYTES
 from toucanwood.relay._server import RelayServer
 
 __all__ = [
+    "END_MARK_BYTES",
     "PIECE_BYTES",
     "RelayFailed",
     "RelayRefused",
--- a/toucanwood/relay/_client.py
+++ b/toucanwood/relay/_client.py
@@ -51,14 +51,21 @@
 
 
 async def open_relayed_connection(
-    relay: str, address: str, *, link_bytes_per_s: float, due_in_s: float
+    relay: str,
+    address: str,
+    *,
+    link_bytes_per_s: float,
+    due_in_s: float,
+    end_mark: bytes = b"",
 ) -> socket.socket:
     """Return a socket that a relay has connected to a target.
 
+    The relay sends `end_mark` after all bytes of a target that closes its connection.
+
     Raise RelayFailed, RelayRefused or TargetRefused. All of them are raised before any
     byte of the request is written.
     """
-    head = RelayHead(address, link_bytes_per_s, due_in_s)
+    head = RelayHead(address, link_bytes_per_s, due_in_s, end_mark)
     host, _, port = relay.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/toucanwood/relay/_protocol.py
+++ b/toucanwood/relay/_protocol.py
@@ -9,8 +9,9 @@
 
 PROTOCOL_VERSION = 1
 LENGTH_BYTES = 2
-# Maximum size of a valid head, which holds an address and two numbers.
+# Maximum size of a valid head, which holds an address, two numbers and an end mark.
 MAX_HEAD_BYTES = 256
+END_MARK_BYTES = 16
 
 
 class Reply(Enum):
@@ -31,16 +32,25 @@
 class RelayHead:
     """Hold the target address, the link rate of the entry and the due time.
 
-    `due_in_s` is the time until the response counts as late.
+    `due_in_s` is the time until the response counts as late. The relay sends `end_mark`
+    after all bytes of a target that has closed its connection. Without it, the end of a
+    relay would look like the end of a response without a length.
     """
 
     address: str
     link_bytes_per_s: float
     due_in_s: float
+    end_mark: bytes = b""
 
     def encode(self) -> bytes:
         """Return the encoded head with its length."""
-        values = [PROTOCOL_VERSION, self.address, self.link_bytes_per_s, self.due_in_s]
+        values = [
+            PROTOCOL_VERSION,
+            self.address,
+            self.link_bytes_per_s,
+            self.due_in_s,
+            self.end_mark,
+        ]
         data: bytes = msgpack.packb(values)
         return len(data).to_bytes(LENGTH_BYTES, "big") + data
 
@@ -48,7 +58,7 @@
     def decode(cls, data: bytes) -> "RelayHead":
         """Decode a head without its length; raise HeadError if it is invalid."""
         try:
-            version, address, link_bytes_per_s, due_in_s = msgpack.unpackb(data)
+            version, address, link_bytes_per_s, due_in_s, *rest = msgpack.unpackb(data)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             raise HeadError(f"the head cannot be decoded: {error}") from error
         if version != PROTOCOL_VERSION or not isinstance(address, str):
@@ -62,7 +72,10 @@
                 f"link rate {link_bytes_per_s!r} must be positive and due time "
                 f"{due_in_s!r} must be finite"
             )
-        return cls(address, float(link_bytes_per_s), float(due_in_s))
+        end_mark = rest[0] if rest else b""
+        if not isinstance(end_mark, bytes) or len(end_mark) > END_MARK_BYTES:
+            raise HeadError(f"the end mark must have at most {END_MARK_BYTES} bytes")
+        return cls(address, float(link_bytes_per_s), float(due_in_s), end_mark)
 
 
 def _is_number(value: Any) -> bool:
--- a/toucanwood/relay/_server.py
+++ b/toucanwood/relay/_server.py
@@ -89,7 +89,9 @@
             if target is not None:
                 pacer = self._get_pacer(writer, head)
                 due_at = asyncio.get_running_loop().time() + head.due_in_s
-                await _forward_until_closed(reader, writer, *target, pacer, due_at)
+                await _forward_until_closed(
+                    reader, writer, *target, pacer, due_at, head.end_mark
+                )
         except HeadError as error:
             log.info("relay_refused", reason=str(error))
             writer.write(Reply.REFUSED.value)
@@ -139,13 +141,14 @@
     target_writer: asyncio.StreamWriter,
     pacer: StreamPacer,
     due_at: float,
+    end_mark: bytes,
 ) -> None:
     """Copy bytes in both directions until either side closes or fails."""
     # Data that waits in the write buffer of the transport would bypass the pacer.
     entry_writer.transport.set_write_buffer_limits(high=PIECE_BYTES)
     to_target = asyncio.ensure_future(_copy(entry_reader, target_writer))
     to_entry = asyncio.ensure_future(
-        _copy_paced(target_reader, entry_writer, pacer, due_at)
+        _copy_paced(target_reader, entry_writer, pacer, due_at, end_mark)
     )
     try:
         # If the target ends its response or the entry disconnects, both copies end.
@@ -176,11 +179,14 @@
     writer: asyncio.StreamWriter,
     pacer: StreamPacer,
     due_at: float,
+    end_mark: bytes,
 ) -> None:
     while piece := await reader.read(PIECE_BYTES):
         await pacer.acquire(len(piece), due_at)
         writer.write(piece)
         await writer.drain()
+    writer.write(end_mark)
+    await writer.drain()
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/toucanwood/upstream/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import re
+import secrets
 import select
 from collections import deque
 from collections.abc import AsyncIterator
@@ -19,6 +20,7 @@
 from aiohttp.streams import EofStream, StreamReader
 
 from toucanwood.relay import (
+    END_MARK_BYTES,
     RelayFailed,
     RelayRefused,
     RelaySelector,
@@ -243,12 +245,17 @@
         if relay is None:
             return None
         rate = relays.link_bytes_per_s
+        end_mark = secrets.token_bytes(END_MARK_BYTES)
         try:
             sock = await open_relayed_connection(
-                relay, address, link_bytes_per_s=rate, due_in_s=due_in_s
+                relay,
+                address,
+                link_bytes_per_s=rate,
+                due_in_s=due_in_s,
+                end_mark=end_mark,
             )
             _, protocol = await loop.create_connection(
-                lambda: self._build_protocol(address), sock=sock
+                lambda: self._build_protocol(address, end_mark), sock=sock
             )
         except TargetRefused as error:
             raise TargetUnreachable(str(error)) from error
@@ -263,7 +270,7 @@
         self.relayed += 1
         return TargetConnection(address, protocol)
 
-    def _build_protocol(self, address: str) -> TargetProtocol:
+    def _build_protocol(self, address: str, end_mark: bytes = b"") -> TargetProtocol:
         def record_violation(reason: str, received: bytes) -> None:
             self.violations += 1
             log.warning(
@@ -273,7 +280,8 @@
                 received=repr(received[:LOGGED_BYTES]),
             )
 
-        return TargetProtocol(asyncio.get_running_loop(), record_violation)
+        loop = asyncio.get_running_loop()
+        return TargetProtocol(loop, record_violation, end_mark)
 
     def _take_idle(self, address: str) -> TargetConnection | None:
         idle = self._idle.get(address)
--- a/toucanwood/upstream/_protocol.py
+++ b/toucanwood/upstream/_protocol.py
@@ -53,15 +53,18 @@
     """Parse one response at a time; keep the bytes behind it unparsed.
 
     `on_violation` is called with a reason and the latest bytes when a target exceeds a
-    bound. The connection is then closed at once.
+    bound. The connection is then closed at once. With `end_mark`, a body that ends with
+    the connection is complete only if the mark follows it.
     """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         on_violation: Callable[[str, bytes], None],
+        end_mark: bytes = b"",
     ) -> None:
         super().__init__(loop)
+        self._end_mark = end_mark
         # aiohttp ends a body without a length in the same way for a close and a reset.
         self.was_reset = False
         self._on_violation = on_violation
@@ -121,12 +124,26 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record whether the connection was reset, and parse all remaining bytes."""
         self.was_reset = exc is not None
+        self._take_end_mark()
         while self._unparsed and self.exception() is None and self._parser is not None:
             self.expect_following_response()
             if self._reading_paused:
                 break
         super().connection_lost(exc)
 
+    def _take_end_mark(self) -> None:
+        """Remove the end mark; without it, a body without a length is incomplete.
+
+        A relay that ends closes its connections in the same way as a target.
+        """
+        if not self._end_mark:
+            return
+        if self._unparsed.endswith(self._end_mark):
+            self._unparsed = self._unparsed.removesuffix(self._end_mark)
+        elif self._stage is _Stage.UNSIZED_BODY:
+            self._unparsed = b""
+            self.was_reset = True
+
     def _find_body_stage(self, message: RawResponseMessage) -> _Stage:
         if self._skip_payload or message.code in _NO_BODY_STATUSES:
             return _Stage.COMPLETE
@@ -141,7 +158,7 @@
     def _parse(self) -> None:
         """Parse bytes until the end of the response, or until the reader is busy."""
         while (
-            self._unparsed
+            self._has_bytes_to_parse()
             and self._stage is not _Stage.COMPLETE
             and self._parser is not None
             and not self._reading_paused
@@ -150,6 +167,12 @@
             self._overlap = piece[-_BLANK_LINE_OVERLAP:]
             self._pass_to_parser(piece)
 
+    def _has_bytes_to_parse(self) -> bool:
+        """Return whether bytes are left beside those that may be the end mark."""
+        is_unsized = self._stage is _Stage.UNSIZED_BODY
+        kept = len(self._end_mark) if is_unsized else 0
+        return len(self._unparsed) > kept
+
     def _pass_to_parser(self, piece: bytes) -> None:
         stage = self._stage
         super().data_received(piece)
@@ -161,7 +184,8 @@
     def _split(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the bytes that belong to the current head or body, and the rest."""
         if self._stage is _Stage.UNSIZED_BODY:
-            return data, b""
+            end = max(len(data) - len(self._end_mark), 0)
+            return data[:end], data[end:]
         if self._stage is _Stage.SIZED_BODY:
             return data[: self._body_bytes_left], data[self._body_bytes_left :]
         match = _BLANK_LINE.search(self._overlap + data)
--- a/toucanwood/upstream/tests/test_protocol.py
+++ b/toucanwood/upstream/tests/test_protocol.py
@@ -67,11 +67,12 @@
 class Receiver:
     """A protocol on a fake transport that expects the response to a GET request."""
 
-    def __init__(self):
+    def __init__(self, end_mark=b""):
         self.violations = []
         self.protocol = TargetProtocol(
             asyncio.get_running_loop(),
             lambda reason, received: self.violations.append(reason),
+            end_mark,
         )
         self.transport = FakeTransport()
         self.protocol.connection_made(self.transport)
@@ -270,3 +271,31 @@
     whole, _ = receive(stream, ends=True)
     split, _ = receive(*segments, ends=True)
     assert split == whole
+
+
+END_MARK = b"0123456789abcdef"
+
+
+# Guards against a relayed response without a length that loses bytes, keeps the mark,
+# or seems to be complete although the relay has ended.
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(st.integers(0, 90), max_size=6), st.booleans(), st.booleans())
+def test_relayed_body_is_complete_only_with_end_mark(cuts, is_sized, has_mark):
+    stream = SIZED if is_sized else HEAD + b"\r\nwhole 01234"
+    data = stream + END_MARK * has_mark
+
+    async def scenario():
+        receiver = Receiver(END_MARK)
+        for start, end in itertools.pairwise(sorted({0, *cuts, len(data)})):
+            if data[start:end]:
+                receiver.protocol.data_received(data[start:end])
+        receiver.end()
+        received = await receiver.read()
+        return received.body, receiver.protocol.was_reset
+
+    body, was_reset = run(scenario)
+    if is_sized:
+        assert body == b"whole"
+    else:
+        assert was_reset == (not has_mark)
+        assert not has_mark or body == b"whole 01234"
