Test that a stop under load answers what a target has received

Guards against the report of other operators that a planned stop cuts off requests that have just been accepted.

--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -467,6 +467,47 @@
     return table
 
 
+async def send_until_closed(harness, answered):
+    """Send requests on kept connections until the entry accepts none any more."""
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        while True:
+            reader, writer = await harness.connect()
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    request = harness.build_request("/unsafe/x")
+                    request_id = f"id-{harness._next_id}"
+                    writer.write(request)
+                    status, headers, _ = await read_response(reader)
+                    answered[request_id] = status
+                    if headers.get("Connection") == "close":
+                        break
+            writer.close()
+
+
+# Guards against requests that are cut off by a planned stop after they were accepted:
+# a target has run them, and their callers get no answer.
+def test_stop_under_load_answers_every_request_that_a_target_has_received():
+    async def scenario(harness):
+        for number, target in enumerate(harness.targets):
+            target.script = [respond_slowly(0.11 + 0.06 * number)] * 1000
+        answered = {}
+        callers = [
+            asyncio.ensure_future(send_until_closed(harness, answered))
+            for _ in range(12)
+        ]
+        await asyncio.sleep(0.3)
+        before_stop = len(answered)
+        await harness.entry.stop()
+        await asyncio.wait_for(asyncio.gather(*callers), 5.0)
+        received = {item.headers[NAMES.request_id] for item in harness.received}
+        assert received - answered.keys() == set()
+        assert len(answered) > before_stop > 0
+        assert {item for item in received if answered[item] != 200} == set()
+
+    targets = [ScriptedTarget(f"t-{number}") for number in range(4)]
+    run_scenario(scenario, *targets)
+
+
 # Guards against requests that are lost in the second after a start of all instances:
 # in an incident 2341 requests were refused twice within it.
 def test_request_before_first_state_is_held_and_then_served():
@@ -533,6 +574,16 @@
     run_scenario(scenario, ScriptedTarget("t-1"))
 
 
+def respond_slowly(seconds):
+    """Send the response after some time."""
+
+    async def step(writer, request):
+        await asyncio.sleep(seconds)
+        return await respond()(writer, request)
+
+    return step
+
+
 def respond_in_two_parts(body, seconds):
     """Send the first half of a response at once and the rest after some time."""
 
