Remove silent targets together

Cause: a leader committed the removal of silent targets one after the other. For those of a lost data centre this can take longer than the longest interval between two checks, and the time for which it has checked would start anew.

Change: the orders are submitted together.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -386,8 +386,14 @@
         silent = self._liveness.list_silent(self.state.targets.values(), now)
         for target in silent:
             log.info("target_silent", target=target.id, service=target.service)
-            order = RemoveTarget(target.id, target.start_time_ms, target.sequence)
-            await self.submit(order)
+        # One after the other, the orders for the targets of a lost data centre would
+        # take longer than the interval between two checks may be.
+        await asyncio.gather(
+            *(
+                self.submit(RemoveTarget(item.id, item.start_time_ms, item.sequence))
+                for item in silent
+            )
+        )
 
     def _add_controller(self, controller: str) -> None:
         if controller == self.settings.id or controller in self._controllers:
--- a/toucanwood/controller/_target_liveness.py
+++ b/toucanwood/controller/_target_liveness.py
@@ -83,9 +83,8 @@
         controller that was cut off, frozen or not leading may have missed
         announcements to others.
         """
-        if self._checking_since is None or now - self._checked_at > (
-            MAX_CHECK_INTERVAL_S
-        ):
+        elapsed = now - self._checked_at
+        if self._checking_since is None or elapsed > MAX_CHECK_INTERVAL_S:
             self._checking_since = now
         self._checked_at = now
         silent = []
