--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -1,11 +1,12 @@
 """Tests of a group of controllers: first start, joins, failures and orders."""
 
 import asyncio
+from unittest import mock
 
 import attrs
 from returns.result import Failure, Success
 
-from toucanwood.controller import AnnounceEntry
+from toucanwood.controller import AnnounceEntry, ControllerInstance
 from toucanwood.controller._group import choose_voter_count
 from toucanwood.controller.tests.harness import DOCUMENT, TARGET, run_scenario, wait_for
 from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation, TargetState
@@ -194,3 +195,21 @@
         server.close()
 
     run_scenario(scenario)
+
+
+# Guards against targets of a lost data centre that stay in use, because their removal
+# takes longer than the longest time between two checks and these start anew.
+def test_silent_targets_are_removed_together():
+    controller = mock.MagicMock()
+    controller._liveness.list_silent.return_value = [TARGET] * 50
+    running = []
+
+    async def submit(order):
+        running.append(order)
+        await asyncio.sleep(0.05)
+        assert len(running) == 50
+
+    controller.submit = submit
+    controller._now.return_value = 0.0
+    asyncio.run(ControllerInstance._expire(controller))
+    assert len(running) == 50
