Test that a request ends at its target after the target was removed

Guards against the report of other operators that a target which was silent for a while had its running work given up or started again elsewhere.

--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -467,6 +467,28 @@
     return table
 
 
+# Guards against running work that is given up, or started again elsewhere, because its
+# target was silent towards the controllers for a while.
+def test_request_at_a_removed_target_ends_there():
+    async def scenario(harness):
+        for target in harness.targets:
+            target.script = [respond_slowly(0.3)]
+        running = asyncio.ensure_future(harness.send("/safe/x"))
+        await asyncio.sleep(0.1)
+        view = harness.entry.view
+        (busy,) = [item for item in harness.targets if item.received]
+        removed = view.targets.pop(busy.name)
+        harness.entry.dispatcher.update(view, frozenset())
+        assert (await harness.send("/safe/y"))[0] == 200
+        assert (await running)[::2] == (200, b"whole")
+        assert len(busy.received) == 1 and len(harness.received) == 2
+        view.targets[removed.id] = removed
+        harness.entry.dispatcher.update(view, frozenset())
+        assert len(harness.entry.dispatcher.list_records()) == 2
+
+    run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
+
+
 async def send_until_closed(harness, answered):
     """Send requests on kept connections until the entry accepts none any more."""
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
