Tell late and broken responses apart in the product's own entry

A target that sends an earlier response once more, when its connection is in use again, gave the caller the response to another request, or 'not-run' for a request that ran: the entry only kept 20 ms of distance. A body without a length that ends with a reset was passed on as a whole one; only the gateway looked at resets.

Change: an entry reuses a connection only after a response that repeats the id of its request, and refuses any other response on a reused connection as one that may have run. A connection serves each id once, and 128 requests at most. TargetProtocol itself fails a body without a length that ends with a reset, so both entries see it. Targets that repeat no ids get a new connection for each request; the targets of the examples and benchmarks repeat them.

--- a/benchmarks/_servers.py
+++ b/benchmarks/_servers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import multiprocessing
 import pathlib
+import re
 import time
 from collections.abc import AsyncIterator
 from multiprocessing.connection import Connection
@@ -18,12 +20,10 @@
 
 # A gateway accepts a response only with the request id and the signature header.
 HEADERS = HeaderNames(signature="Toucanwood-Signature")
-REQUEST_ID = "benchmark"
-SIGNATURE_HEADERS = (
-    f"{HEADERS.request_id}: {REQUEST_ID}\r\n{HEADERS.signature}: s\r\n".encode()
-)
-OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + SIGNATURE_HEADERS
-OK_RESPONSE += b"Content-Length: 5\r\n\r\nhello"
+REQUEST_ID_PATTERN = re.compile(f"{HEADERS.request_id}: ([^\r]+)".encode(), re.I)
+OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+OK_HEAD += f"{HEADERS.signature}: s\r\n{HEADERS.request_id}: ".encode()
+OK_BODY = b"\r\nContent-Length: 5\r\n\r\nhello"
 CHUNK = b"x" * 256 * 1024
 START_TIMEOUT_S = 20
 # References that keep the objects alive while the process serves.
@@ -56,7 +56,10 @@
             size = int(path.rpartition(b"/")[2])
             self._sender = asyncio.ensure_future(self._stream(size))
         else:
-            self._transport.write(OK_RESPONSE * data.count(b"\r\n\r\n"))
+            for head in data.split(b"\r\n\r\n")[:-1]:
+                match = REQUEST_ID_PATTERN.search(head)
+                request_id = match.group(1) if match is not None else b""
+                self._transport.write(OK_HEAD + request_id + OK_BODY)
 
     async def _stream(self, size: int) -> None:
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
@@ -238,10 +241,8 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._headers = (
-            f"Host: h\r\nX-Api-Key: {key}\r\nAccept: */*\r\n"
-            f"{HEADERS.request_id}: {REQUEST_ID}\r\n\r\n"
-        )
+        self._headers = f"Host: h\r\nX-Api-Key: {key}\r\nAccept: */*\r\n"
+        self._ids = itertools.count(1)
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -262,10 +263,12 @@
 
     async def get_status(self, path: str) -> int:
         """Send one request, drop the response body and return the status."""
-        self._writer.write(f"GET {path} HTTP/1.1\r\n{self._headers}".encode())
-        head = await self._reader.readuntil(b"\r\n\r\n")
-        length = head.lower().partition(b"content-length: ")[2]
+        request_id = f"{HEADERS.request_id}: {id(self):x}-{next(self._ids)}"
+        head = f"GET {path} HTTP/1.1\r\n{self._headers}{request_id}\r\n\r\n"
+        self._writer.write(head.encode())
+        received = await self._reader.readuntil(b"\r\n\r\n")
+        length = received.lower().partition(b"content-length: ")[2]
         remaining = int(length.partition(b"\r\n")[0])
         while remaining:
             remaining -= len(await self._reader.read(min(remaining, len(CHUNK))))
-        return int(head[9:12])
+        return int(received[9:12])
--- a/examples/targets.py
+++ b/examples/targets.py
@@ -19,6 +19,7 @@
 ANNOUNCE_TIMEOUT_S = 2.0
 PROCESSING_TIME_S = 0.005
 CHUNK_BYTES = 64 * 1024
+REQUEST_ID_HEADER = "Toucanwood-Request-Id"
 MAX_DOWNLOAD_BYTES = 2 * 1024**3
 
 
@@ -59,7 +60,9 @@
                 return await self.stream_response(request, size)
             if request.method != "GET":
                 self.record_execution(request)
-            return web.json_response(self.describe_request(request, body))
+            return web.json_response(
+                self.describe_request(request, body), headers=echo_request_id(request)
+            )
         finally:
             self.in_flight -= 1
 
@@ -86,7 +89,8 @@
         self, request: web.BaseRequest, size: int
     ) -> web.StreamResponse:
         """Send a response body of `size` bytes."""
-        response = web.StreamResponse(headers={"Content-Length": str(size)})
+        headers = {"Content-Length": str(size), **echo_request_id(request)}
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         chunk = bytes(CHUNK_BYTES)
         for start in range(0, size, CHUNK_BYTES):
@@ -135,6 +139,12 @@
                     break
 
 
+def echo_request_id(request: web.BaseRequest) -> dict[str, str]:
+    """Return the header with the request's id; without it, no connection is reused."""
+    request_id = request.headers.get(REQUEST_ID_HEADER)
+    return {} if request_id is None else {REQUEST_ID_HEADER: request_id}
+
+
 async def main(config: dict[str, Any]) -> None:
     """Run the targets of a configuration until SIGTERM or SIGINT."""
     stop_requested = asyncio.Event()
--- a/toucanwood/entry/_exchange.py
+++ b/toucanwood/entry/_exchange.py
@@ -14,6 +14,7 @@
     SlotLease,
 )
 from toucanwood.entry._request_body import BodyError, RequestBody
+from toucanwood.entry._responses import REQUEST_ID_HEADER
 from toucanwood.upstream import (
     Progress,
     TargetClient,
@@ -51,19 +52,24 @@
         self._lease = lease
         self._connection: TargetConnection | None = None
         self._sender: asyncio.Task[None] | None = None
+        self._request_id = ""
         self._may_reuse_connection = False
         self._is_finished = False
         lease.on_lost = self._on_lease_lost
 
-    async def open(self, *, reuse: bool) -> None:
-        """Open or reuse a connection to the target.
+    async def open(self, *, reuse: bool, request_id: str) -> None:
+        """Open or reuse a connection to the target for the request with this id.
 
-        With `reuse`, an idle connection may be taken from the pool and the connection
-        may return to the pool afterwards.
+        With `reuse`, an idle connection may be taken from the pool. The connection may
+        return to the pool if the response repeats the id.
         """
         self._may_reuse_connection = reuse
+        self._request_id = request_id
         self._connection = await self._client.open(
-            self._lease.address, reuse=reuse, progress=self.progress
+            self._lease.address,
+            reuse=reuse,
+            progress=self.progress,
+            request_id=request_id,
         )
         if asyncio.get_running_loop().time() >= self._lease.start_by:
             raise TargetError("the slot lease expired before the request started")
@@ -90,8 +96,21 @@
             self.response_head, self.response_stream = await connection.receive()
         else:
             await self._receive_while_sending(connection, self._sender)
+        self._check_response_id()
         self.attempt.status = self.response_head.code
 
+    def _check_response_id(self) -> None:
+        """Refuse a response to another request, which a target may send late or twice.
+
+        On a new connection, there is no earlier request that it could be for.
+        """
+        response_id = self.response_head.headers.get(REQUEST_ID_HEADER)
+        if response_id == self._request_id:
+            return
+        if self.progress.reused:
+            raise TargetError("the target sent the response to another request")
+        self._may_reuse_connection = False
+
     async def _receive_while_sending(
         self, connection: TargetConnection, sender: asyncio.Task[None]
     ) -> None:
--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -136,7 +136,9 @@
         self, context: RequestContext, exchange: Exchange
     ) -> None:
         request = context.request
-        await exchange.open(reuse=context.is_idempotent)
+        await exchange.open(
+            reuse=context.is_idempotent, request_id=context.decision.request_id
+        )
         await exchange.send(
             request.method, self._encode_head(context, exchange), context.body
         )
--- a/toucanwood/entry/_response_sender.py
+++ b/toucanwood/entry/_response_sender.py
@@ -18,7 +18,10 @@
 from toucanwood.entry._responses import REQUEST_ID_HEADER
 from toucanwood.upstream import TargetError
 
-_EXCLUDED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
+_EXCLUDED_HEADERS = HOP_BY_HOP_HEADERS | {
+    "content-length",
+    REQUEST_ID_HEADER.lower(),
+}
 
 
 class ResponseSender:
--- a/toucanwood/entry/tests/test_faults.py
+++ b/toucanwood/entry/tests/test_faults.py
@@ -32,7 +32,11 @@
     "answer_twice_late",
 }
 # Modes in which the caller gets the response head before the failure.
-TRUNCATED_RESPONSE = {"close_in_large_body", "close_in_chunked_body"}
+TRUNCATED_RESPONSE = {
+    "close_in_large_body",
+    "close_in_chunked_body",
+    "reset_in_unsized_body",
+}
 DEADLINE_S = 0.25
 TRUNCATION = "truncated"
 
--- a/toucanwood/entry/tests/test_proxy.py
+++ b/toucanwood/entry/tests/test_proxy.py
@@ -182,6 +182,46 @@
     run_with_target(check)
 
 
+def test_earlier_response_is_not_taken_for_that_of_the_next_request():
+    # Guards against a target that sends an earlier response once more when its
+    # connection is in use again: the caller would get the response to another request,
+    # or "not-run" for a request that runs.
+    async def check(harness, target):
+        for first_mode in ("none", "shed"):
+            for operation in ("first", "second"):
+                target.mode = first_mode if operation == "first" else "repeat_earlier"
+                headers = f"{AUTH_HEADER}X-Operation: {operation}\r\n"
+                data = build_get("/buscador/", headers + "Connection: close\r\n")
+                response = await send_raw(harness.entry.address, data)
+                await asyncio.sleep(2 * MIN_IDLE_S)
+            head, _, body = response.partition(b"\r\n\r\n")
+            assert body == b"second:0" or MAY_HAVE_RUN.encode() in head
+            assert target.executions["second"] >= 1
+
+    run_with_target(check)
+
+
+def test_connection_is_kept_only_if_the_response_has_the_id_of_its_request():
+    # Guards against kept connections on which a late response can't be told apart: from
+    # a target that repeats no ids, and with a caller that sends one id several times.
+    async def check(harness, target):
+        for echoes_ids, request_id in ((False, None), (True, "same")):
+            target.echoes_request_ids = echoes_ids
+            target.requests_by_connection.clear()
+            headers = AUTH_HEADER + "Connection: close\r\n"
+            if request_id is not None:
+                headers += f"Toucanwood-Request-Id: {request_id}\r\n"
+            for _ in range(3):
+                data = build_get("/buscador/", headers)
+                response = await send_raw(harness.entry.address, data)
+                assert b"200 OK" in response
+                assert response.lower().count(b"toucanwood-request-id: ") == 1
+                await asyncio.sleep(2 * MIN_IDLE_S)
+            assert [len(item) for item in target.requests_by_connection] == [1, 1, 1]
+
+    run_with_target(check)
+
+
 def test_unresponsive_pooled_connection_is_aborted_before_the_deadline():
     # Guards against idempotent requests that wait until their deadline on an
     # established connection that stopped responding, while new connections work.
--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -64,10 +64,11 @@
         address: str,
         *,
         reuse: bool,
+        request_id: str = "",
         relays: RelaySelector | None = None,
         due_in_s: float = 0.0,
     ) -> None:
-        """Connect to a target.
+        """Connect to a target for the request with this id.
 
         The connection may serve further requests only with `reuse` and without
         `relays`. With `relays`, the response comes through a relay and is due in
@@ -78,6 +79,7 @@
             address,
             reuse=reuse,
             progress=self.progress,
+            request_id=request_id,
             relays=relays,
             due_in_s=due_in_s,
         )
@@ -126,12 +128,9 @@
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the response body, or b"" at its end."""
         try:
-            chunk = await self.response_stream.readany()
+            return await self.response_stream.readany()
         except (ClientError, OSError, RuntimeError) as error:
             raise TargetError(f"the response is truncated: {error}") from error
-        if not chunk and self._is_ended_by_reset():
-            raise TargetError("the response ended with a reset")
-        return chunk
 
     @property
     def response_head(self) -> RawResponseMessage:
@@ -191,11 +190,3 @@
                     f"a response to another request has more than "
                     f"{MAX_FOREIGN_BODY_BYTES} bytes"
                 )
-
-    def _is_ended_by_reset(self) -> bool:
-        """Return whether a body without declared length was ended by a reset."""
-        headers = self.response_head.headers
-        if "Content-Length" in headers or self.response_head.chunked:
-            return False
-        connection = self._connection
-        return connection is not None and connection.is_reset
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -260,6 +260,7 @@
             await exchange.open(
                 lease.target.address,
                 reuse=context.is_idempotent,
+                request_id=context.request_id,
                 relays=context.relays,
                 due_in_s=context.objective_at - now,
             )
--- a/toucanwood/upstream/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -38,6 +38,8 @@
 # it is reused. If a target sends two responses to one request, the second response must
 # not be taken for the response to the next request.
 MIN_IDLE_S = 0.02
+# Maximum number of requests on one connection; bounds the memory for their ids.
+MAX_REQUESTS_PER_CONNECTION = 128
 # Number of received bytes that are logged when a target violates the protocol.
 LOGGED_BYTES = 64
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
@@ -72,6 +74,8 @@
         transport = protocol.transport
         assert transport is not None
         self._transport = transport
+        # Hashes of the ids of the requests that were sent on this connection.
+        self._sent_ids: set[int] = set()
         self._socket_poller = select.poll()
         self._socket_poller.register(transport.get_extra_info("socket").fileno())
 
@@ -87,6 +91,17 @@
             event & ~select.POLLOUT for _, event in self._socket_poller.poll(0)
         )
 
+    def record_request(self, request_id: str) -> None:
+        """Record the id of a request that is sent on this connection."""
+        self._sent_ids.add(hash(request_id))
+
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent on this connection.
+
+        A late response to it could not be told from that to another one.
+        """
+        return hash(request_id) in self._sent_ids
+
     def expect_response(self, method: str) -> None:
         """Prepare the parser for the response to a request of this method."""
         self._protocol.set_response_params(
@@ -134,11 +149,6 @@
         except (ClientError, HttpProcessingError, EofStream, OSError) as error:
             raise TargetError(f"no valid response: {_describe(error)}") from error
 
-    @property
-    def is_reset(self) -> bool:
-        """Return whether the connection was reset and not closed."""
-        return self._protocol.was_reset
-
     def is_reusable(self, message: RawResponseMessage) -> bool:
         """Return whether the response ended in a way that allows another request."""
         # `should_close` of the protocol is set when the body is not complete, or when
@@ -147,6 +157,7 @@
             message.should_close
             or self._protocol.should_close
             or self._transport.is_closing()
+            or len(self._sent_ids) >= MAX_REQUESTS_PER_CONNECTION
         )
 
     def abort(self) -> None:
@@ -200,12 +211,15 @@
         *,
         reuse: bool,
         progress: Progress,
+        request_id: str = "",
         relays: RelaySelector | None = None,
         due_in_s: float = 0.0,
     ) -> TargetConnection:
         """Return an idle or a new connection to a target.
 
-        With `relays`, the connection is opened through a relay if a relay works.
+        An idle connection is returned only if it has not sent a request with
+        `request_id` before. With `relays`, the connection is opened through a relay if
+        a relay works.
         """
         if relays is not None:
             relayed = await self._connect_relayed(address, relays, due_in_s)
@@ -213,13 +227,15 @@
                 progress.connected = True
                 return relayed
         if reuse:
-            idle = self._take_idle(address)
+            idle = self._take_idle(address, request_id)
             if idle is not None:
                 self.reused += 1
                 progress.connected = progress.reused = True
+                idle.record_request(request_id)
                 return idle
         connection = await self._connect(address)
         self.opened += 1
+        connection.record_request(request_id)
         progress.connected = True
         return connection
 
@@ -283,14 +299,16 @@
         loop = asyncio.get_running_loop()
         return TargetProtocol(loop, record_violation, end_mark)
 
-    def _take_idle(self, address: str) -> TargetConnection | None:
-        idle = self._idle.get(address)
+    def _take_idle(self, address: str, request_id: str) -> TargetConnection | None:
+        idle = self._idle.get(address, deque())
         now = asyncio.get_running_loop().time()
-        while idle:
-            age = now - idle[0].idle_since
+        for connection in list(idle):
+            age = now - connection.idle_since
             if age < self._min_idle_s:
                 return None
-            connection = idle.popleft()
+            if connection.has_sent(request_id):
+                continue
+            idle.remove(connection)
             if age < self._max_idle_s and connection.is_usable():
                 return connection
             connection.close()
--- a/toucanwood/upstream/_protocol.py
+++ b/toucanwood/upstream/_protocol.py
@@ -65,8 +65,7 @@
     ) -> None:
         super().__init__(loop)
         self._end_mark = end_mark
-        # aiohttp ends a body without a length in the same way for a close and a reset.
-        self.was_reset = False
+        self._was_reset = False
         self._on_violation = on_violation
         self._stage = _Stage.COMPLETE
         self._unparsed = b""
@@ -122,13 +121,16 @@
             self._body = body
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset, and parse all remaining bytes."""
-        self.was_reset = exc is not None
+        """Parse all remaining bytes; a reset makes a body without length incomplete."""
+        self._was_reset = exc is not None
         self._take_end_mark()
         while self._unparsed and self.exception() is None and self._parser is not None:
             self.expect_following_response()
             if self._reading_paused:
                 break
+        if self._was_reset and self._stage is _Stage.UNSIZED_BODY:
+            # aiohttp ends such a body in the same way for a close and a reset.
+            self._fail_body(ClientPayloadError("the response ended with a reset"))
         super().connection_lost(exc)
 
     def _take_end_mark(self) -> None:
@@ -142,7 +144,7 @@
             self._unparsed = self._unparsed.removesuffix(self._end_mark)
         elif self._stage is _Stage.UNSIZED_BODY:
             self._unparsed = b""
-            self.was_reset = True
+            self._was_reset = True
 
     def _find_body_stage(self, message: RawResponseMessage) -> _Stage:
         if self._skip_payload or message.code in _NO_BODY_STATUSES:
@@ -223,8 +225,7 @@
     def _end_after_error(self) -> None:
         """End the body that the parser gave up; its reader would wait otherwise."""
         self._unparsed = b""
-        if self._body is not None and not self._body.is_eof():
-            self._body.set_exception(ClientPayloadError("the body is malformed"))
+        self._fail_body(ClientPayloadError("the body is malformed"))
 
     def _abort_response(self, reason: str, received: bytes) -> None:
         self._on_violation(reason, received)
@@ -232,7 +233,11 @@
         transport = self.transport
         self._unparsed = b""
         self.set_exception(error)
-        if self._body is not None and not self._body.is_eof():
-            self._body.set_exception(error)
+        self._fail_body(error)
         if transport is not None:
             transport.abort()
+
+    def _fail_body(self, error: ClientError) -> None:
+        """Make the reader of an incomplete body fail."""
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
--- a/toucanwood/upstream/tests/test_protocol.py
+++ b/toucanwood/upstream/tests/test_protocol.py
@@ -89,8 +89,8 @@
             fed += len(segment)
         return fed
 
-    def end(self):
-        self.protocol.connection_lost(None)
+    def end(self, error=None):
+        self.protocol.connection_lost(error)
 
     async def read(self):
         """Return the next final response, or None if there is no valid one."""
@@ -242,6 +242,18 @@
         assert response is None or response.body is None
 
 
+# Guards against a part of a response that is passed on as the whole one.
+def test_body_without_length_that_ends_with_a_reset_is_not_complete():
+    async def scenario(error):
+        receiver = Receiver()
+        receiver.feed([HEAD + b"\r\nuntil the end"])
+        receiver.end(error)
+        return (await receiver.read()).body
+
+    assert asyncio.run(scenario(None)) == b"until the end"
+    assert asyncio.run(scenario(ConnectionResetError())) is None
+
+
 # Guards against a reader that waits until the deadline for a malformed body.
 def test_malformed_chunk_ends_the_body_at_once():
     start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
@@ -290,12 +302,11 @@
             if data[start:end]:
                 receiver.protocol.data_received(data[start:end])
         receiver.end()
-        received = await receiver.read()
-        return received.body, receiver.protocol.was_reset
+        return (await receiver.read()).body
 
-    body, was_reset = run(scenario)
+    body = run(scenario)
     if is_sized:
         assert body == b"whole"
     else:
-        assert was_reset == (not has_mark)
+        assert body == (b"whole 01234" if has_mark else None)
         assert not has_mark or body == b"whole 01234"
