Let relayed responses finish within the grace time of a stop

Cause: a controller that stops reset the responses that it relays after 2.5 s, although the platform gives it 6 to 10 s. Kinds with large responses take longer than that on the large site, so a planned stop cut them off.

Change: controllers know the grace time and give relayed responses 0.85 of it; the relay takes no new ones from the beginning of the stop, beside the hand-over. The new test of the relay failed before.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -59,6 +59,8 @@
 # in force everywhere within seconds.
 MAX_READ_AGE_S = 0.8
 RETRY_AFTER_S = 0.3
+# Fraction of the grace time of a stop in which relayed responses may finish.
+STOP_RELAY_FRACTION = 0.85
 
 
 class ControllerInstance:
@@ -69,7 +71,10 @@
         self.state = FleetState()
         self.metrics = MetricsRegistry()
         self.metrics.add_gauges(self._read_gauges)
-        self.relay = RelayServer(self._is_target_address)
+        self.relay = RelayServer(
+            self._is_target_address,
+            stop_timeout_s=settings.stop_grace_s * STOP_RELAY_FRACTION,
+        )
         self.metrics_server = MetricsServer(self.metrics, settings.metrics)
         self.directory = EntryDirectory(settings.region_by_data_centre)
         self._region_demand = RegionDemand(self._now())
@@ -113,10 +118,14 @@
         log.info("controller_started", id=self.settings.id)
 
     async def stop(self) -> None:
-        """Hand over leadership and stop every component."""
+        """Hand over leadership and stop every component.
+
+        Relayed responses may finish meanwhile; entries open no new ones.
+        """
+        relay_stop = asyncio.ensure_future(self.relay.stop())
         await self.replica.stop()
         await self._tasks.stop()
-        await self.relay.stop()
+        await relay_stop
         await self.metrics_server.stop()
         await self.network.stop()
         log.info("controller_stopped", id=self.settings.id)
--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -30,6 +30,8 @@
     lookup_ttl_s: float = 2.0
     # The port of the relay for large responses; None disables the relay.
     relay_port: int | None = None
+    # Time in seconds that a planned stop may take.
+    stop_grace_s: float = 6.0
     # The `ip:port` on which metrics are served; None disables them.
     metrics: str | None = None
 
@@ -51,6 +53,10 @@
         values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
         default_ttl = attrs.fields(cls).lookup_ttl_s.default
         values["lookup_ttl_s"] = reader.read_number("lookup_ttl_s", default_ttl, low=0)
+        default_grace = attrs.fields(cls).stop_grace_s.default
+        values["stop_grace_s"] = reader.read_number(
+            "stop_grace_s", default_grace, low=0
+        )
         if errors:
             raise ValidationError(errors)
         return cls(**values)
--- a/toucanwood/relay/_server.py
+++ b/toucanwood/relay/_server.py
@@ -25,8 +25,8 @@
 # Maximum duration of a relayed connection, after which it is reset. No route has a
 # timeout this long.
 MAX_DURATION_S = 60.0
-# Time that running responses have to complete when the process stops.
-STOP_TIMEOUT_S = 2.5
+# Default time that running responses have to complete when the process stops.
+STOP_TIMEOUT_S = 5.0
 STOP_POLL_INTERVAL_S = 0.05
 # Buffer limit of each stream reader. A response is buffered ahead of its pace, so that
 # its target is free earlier. A reader buffers twice this size before it stops reading.
@@ -40,8 +40,14 @@
 class RelayServer:
     """Connect entries to known targets and pace the responses to each entry."""
 
-    def __init__(self, is_known_target: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        is_known_target: Callable[[str], bool],
+        *,
+        stop_timeout_s: float = STOP_TIMEOUT_S,
+    ) -> None:
         self._is_known_target = is_known_target
+        self._stop_timeout_s = stop_timeout_s
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
         # Pacers by entry address; all responses to one entry share its link.
@@ -66,7 +72,7 @@
         """Stop listening, wait a while for running responses, and reset the others."""
         if self._server is not None:
             self._server.close()
-        deadline = asyncio.get_running_loop().time() + STOP_TIMEOUT_S
+        deadline = asyncio.get_running_loop().time() + self._stop_timeout_s
         while self.connection_count and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         await self._tasks.stop()
--- a/toucanwood/relay/tests/test_relay.py
+++ b/toucanwood/relay/tests/test_relay.py
@@ -118,6 +118,29 @@
     assert asyncio.run(main())
 
 
+# Guards against a planned stop that cuts off a response for which its target still has
+# time: the kinds with large responses take seconds.
+def test_stop_lets_a_running_response_finish_within_the_grace_time():
+    async def respond_late(reader, writer):
+        await reader.read(100)
+        await asyncio.sleep(3.0)
+        writer.write(BODY[:5000])
+        await writer.drain()
+
+    async def main():
+        async with FakeTarget(respond_late) as target:
+            async with run_relay(target.address) as relay:
+                reader, writer = await connect(relay, target.address)
+                writer.write(b"request")
+                await asyncio.sleep(0.1)
+                stopping = asyncio.ensure_future(relay.stop())
+                assert await reader.read(-1) == BODY[:5000]
+                await stopping
+                writer.close()
+
+    asyncio.run(main())
+
+
 # Guards against targets that keep working for a caller that has disconnected.
 def test_target_is_disconnected_when_the_entry_disconnects():
     async def wait_for_end(reader, writer):
