--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import pathlib
+import resource
 
 import attrs
 
@@ -756,6 +758,56 @@
     run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
 
 
+# Guards against a body without end that takes the memory of the entry, looks complete
+# to its caller, or keeps its target busy after the deadline.
+def test_endless_body_ends_incomplete_at_the_deadline():
+    head = f"HTTP/1.1 200 X\r\n{NAMES.request_id}: OWN-ID\r\n{NAMES.signature}: s\r\n"
+    forms = [
+        (b"\r\n", b"x" * 4096),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+        (b"Content-Length: 999999999999\r\n\r\n", b"x" * 4096),
+    ]
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        target = harness.targets[0]
+        memory_before = measure_resident_bytes()
+        for path in ("/safe/x", "/unsafe/x"):
+            for framing, data in forms:
+                forget_slow_targets(harness)
+                target.script = [respond_endlessly(head.encode() + framing, data)]
+                closed = target.closed
+                reader, writer = await harness.connect()
+                started = loop.time()
+                writer.write(harness.build_request(path))
+                is_complete = await read_until_closed(reader)
+                assert not is_complete and loop.time() - started < 2.0
+                writer.close()
+                await asyncio.sleep(0.05)
+                assert target.closed > closed
+                forget_slow_targets(harness)
+                assert (await harness.send(path))[::2] == (200, b"whole")
+        assert measure_resident_bytes() - memory_before < 16e6
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=2e6)
+
+
+async def read_until_closed(reader):
+    """Read until the end of the connection; return whether the response is complete."""
+    tail = b""
+    try:
+        while data := await reader.read(65536):
+            tail = (tail + data)[-5:]
+    except ConnectionError:
+        return False
+    return tail == b"0\r\n\r\n"
+
+
+def measure_resident_bytes():
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
 # Guards against a 502 for a request that has run once and may not run again, although
 # its response is complete.
 def test_bytes_behind_complete_response_do_not_fail_request():
