Replace voters that are gone in the group of controllers

Cause: the leader added and promoted new controllers, but a replaced machine stayed a voter for good. With six controllers and two replaced machines, five of seven voters were alive, so the loss of a region stopped all orders and proofs of state.

Change: a member without a sign of life for 10 s, seen by a leader without a break, is removed if it has no vote, or once others have taken its place: at least five voters, or those that the group had, remain and are alive. A member that returns is added again.

test_controller_that_is_gone_leaves_the_group_to_its_successor failed before; four members with two of three voters gone accepted no order.

--- a/toucanwood/controller/_group.py
+++ b/toucanwood/controller/_group.py
@@ -2,15 +2,22 @@
 
 from collections.abc import Callable, Iterable
 
+import attrs
 import structlog
 
-from toucanwood.consensus import MemberRole, Replica
+from toucanwood.consensus import MemberRole, Members, Replica
 
 log = structlog.get_logger()
 
 # Interval between checks of the group membership. Each membership change takes several
 # round trips, so checking more often would not speed it up.
 CHECK_INTERVAL_S = 0.25
+# Interval between checks above which the process was frozen or its machine suspended,
+# so that signs of life may have been missed.
+MAX_CHECK_INTERVAL_S = 1.0
+# Number of voters below which none is removed. Each order is then stored on three disks
+# at least, and survives the loss of two.
+MIN_REMAINING_VOTERS = 5
 
 
 def choose_voter_count(members: int) -> int:
@@ -22,29 +29,92 @@
     return members if members % 2 else max(members - 1, 1)
 
 
+def find_removable_member(members: Members, gone: Iterable[str]) -> str | None:
+    """Return a gone member that is not needed any more, or None.
+
+    A voter is needed until others have taken its place: fewer voters would store orders
+    on fewer disks than may be lost.
+    """
+    gone = set(gone)
+    for controller in sorted(gone):
+        if members.by_id[controller].role is not MemberRole.VOTER:
+            return controller
+    present = [voter for voter in members.voters if voter not in gone]
+    remaining = len(members.voters) - 1
+    needed = min(MIN_REMAINING_VOTERS, choose_voter_count(len(members.by_id)))
+    if len(present) < needed or remaining < needed:
+        return None
+    return next((voter for voter in sorted(members.voters) if voter in gone), None)
+
+
+@attrs.define
+class MemberLiveness:
+    """Track which members have given no sign of life for too long.
+
+    Only the time counts in which this controller has checked without a break.
+    """
+
+    gone_after_s: float
+    _alive_at: dict[str, float] = attrs.field(factory=dict)
+    _checked_at: float = float("-inf")
+
+    def list_gone(
+        self, members: Iterable[str], live: Iterable[str], now: float
+    ) -> set[str]:
+        """Return the members that have been silent for `gone_after_s` seconds."""
+        if now - self._checked_at > MAX_CHECK_INTERVAL_S:
+            self._alive_at.clear()
+        self._checked_at = now
+        alive = set(live)
+        self._alive_at = {
+            member: now if member in alive else self._alive_at.get(member, now)
+            for member in members
+        }
+        return {
+            member
+            for member, alive_at in self._alive_at.items()
+            if now - alive_at > self.gone_after_s
+        }
+
+
 class GroupManager:
-    """Add live controllers to the group and promote learners to voters."""
+    """Add live controllers to the group, promote learners and remove what is gone."""
 
     def __init__(
-        self, replica: Replica, list_live: Callable[[], Iterable[str]]
+        self,
+        replica: Replica,
+        list_live: Callable[[], Iterable[str]],
+        *,
+        own_id: str,
+        gone_after_s: float,
+        now: Callable[[], float],
     ) -> None:
         self._replica = replica
         self._list_live = list_live
+        self._own_id = own_id
+        self._now = now
+        self._liveness = MemberLiveness(gone_after_s)
 
     async def apply_next_change(self) -> None:
         """Make at most one membership change if this controller is the leader."""
         if not self._replica.is_leader():
             return
         members = self._replica.members
-        live = set(self._list_live())
+        live = {self._own_id, *self._list_live()}
+        gone = self._liveness.list_gone(members.by_id, live, self._now())
         for controller in sorted(live - set(members.by_id)):
             result = await self._replica.add_learner(controller)
             log.info("controller_added", id=controller, result=str(result))
             return
-        if len(members.voters) >= choose_voter_count(len(members.by_id)):
-            return
-        for controller, member in members.by_id.items():
-            if member.role is MemberRole.LEARNER and controller in live:
-                result = await self._replica.promote(controller)
-                log.info("controller_promoted", id=controller, result=str(result))
-                return
+        present_voters = set(members.voters) - gone
+        present_count = len(members.by_id) - len(gone)
+        if len(present_voters) < choose_voter_count(present_count):
+            for controller, member in members.by_id.items():
+                if member.role is MemberRole.LEARNER and controller in live:
+                    result = await self._replica.promote(controller)
+                    log.info("controller_promoted", id=controller, result=str(result))
+                    return
+        removable = find_removable_member(members, gone)
+        if removable is not None:
+            result = await self._replica.remove(removable)
+            log.info("controller_removed", id=removable, result=str(result))
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -95,7 +95,13 @@
             state_machine=self.state,
             voters=settings.founders,
         )
-        self._group_manager = GroupManager(self.replica, self._list_live_controllers)
+        self._group_manager = GroupManager(
+            self.replica,
+            self._list_live_controllers,
+            own_id=settings.id,
+            gone_after_s=settings.gone_after_s,
+            now=self._now,
+        )
         self._register_handlers()
         for controller in (*settings.controllers, *settings.founders):
             self._add_controller(controller)
--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -32,6 +32,9 @@
     relay_port: int | None = None
     # Time in seconds that a planned stop may take.
     stop_grace_s: float = 6.0
+    # Time in seconds without a sign of life after which another controller may take the
+    # place of one in the control group.
+    gone_after_s: float = 10.0
     # The `ip:port` on which metrics are served; None disables them.
     metrics: str | None = None
 
@@ -51,12 +54,9 @@
         for name in ("controllers", "founders"):
             values[name] = tuple(reader.read(name, list) or ())
         values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
-        default_ttl = attrs.fields(cls).lookup_ttl_s.default
-        values["lookup_ttl_s"] = reader.read_number("lookup_ttl_s", default_ttl, low=0)
-        default_grace = attrs.fields(cls).stop_grace_s.default
-        values["stop_grace_s"] = reader.read_number(
-            "stop_grace_s", default_grace, low=0
-        )
+        for name in ("lookup_ttl_s", "stop_grace_s", "gone_after_s"):
+            default = getattr(attrs.fields(cls), name).default
+            values[name] = reader.read_number(name, default, low=0)
         if errors:
             raise ValidationError(errors)
         return cls(**values)
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -6,15 +6,21 @@
 import attrs
 from returns.result import Failure, Success
 
+from toucanwood.consensus import MemberRole, Members
+from toucanwood.consensus._members import Member
 from toucanwood.controller import AnnounceEntry, ControllerInstance
-from toucanwood.controller._group import choose_voter_count
+from toucanwood.controller._group import (
+    MemberLiveness,
+    choose_voter_count,
+    find_removable_member,
+)
 from toucanwood.controller.tests.harness import DOCUMENT, TARGET, run_scenario, wait_for
 from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation, TargetState
 
 
-async def start_group(controllers, count=3):
+async def start_group(controllers, count=3, **changed):
     numbers = range(1, count + 1)
-    await asyncio.gather(*(controllers.start(number) for number in numbers))
+    await asyncio.gather(*(controllers.start(number, **changed) for number in numbers))
     await controllers.wait_leader()
 
 
@@ -88,6 +94,71 @@
     run_scenario(scenario)
 
 
+# Guards against a group whose majority shrinks with each replaced machine: dead voters
+# count, so the loss of one more machine stops all orders.
+def test_controller_that_is_gone_leaves_the_group_to_its_successor():
+    async def scenario(controllers):
+        await start_group(controllers, gone_after_s=1.0)
+        await controllers.submit(PutRouting(0, 4, DOCUMENT))
+        await controllers.kill(2)
+        await controllers.start(4, founders=(), gone_after_s=1.0)
+        voters = [controllers.name(number) for number in (1, 3, 4)]
+        await wait_for(lambda: controllers.running[1].replica.members.voters == voters)
+        await controllers.kill(3)
+        result = await controllers.submit(PutRouting(4, 5, DOCUMENT))
+        assert result.status is OrderStatus.ACCEPTED
+        returned = await controllers.start(2, founders=(), gone_after_s=1.0)
+        await wait_for(lambda: returned.state.revision == 5)
+
+    run_scenario(scenario)
+
+
+# Guards against members that are removed because their signs of life were missed.
+def test_only_silence_without_a_break_counts_as_gone():
+    liveness = MemberLiveness(gone_after_s=2.0)
+    for step in range(9):
+        assert not liveness.list_gone("ab", "a", step / 4)
+    assert liveness.list_gone("ab", "a", 2.25) == {"b"}
+    assert not liveness.list_gone("ab", "a", 9.0)
+
+
+def test_member_is_removable_only_if_others_have_taken_its_place():
+    def build(voters, learners=""):
+        members = Members({})
+        for role, ids in ((MemberRole.VOTER, voters), (MemberRole.LEARNER, learners)):
+            for key in ids:
+                members = members.with_member(key, Member(f"disk-{key}", role))
+        return members
+
+    cases = {
+        # voters, learners, gone: removable
+        ("abc", "", "c"): None,
+        ("abc", "d", "d"): "d",
+        ("abcd", "", "b"): "b",
+        ("abcde", "f", "e"): None,
+        ("abcdef", "", "e"): "e",
+        ("abcdef", "", "ef"): None,
+        ("abcdefg", "", "fg"): "f",
+        ("abcdefghi", "", "ghi"): "g",
+        ("abcdefghi", "", "efghi"): None,
+    }
+    for (voters, learners, gone), removable in cases.items():
+        assert find_removable_member(build(voters, learners), gone) == removable
+
+
+# Guards against orders that are stored on fewer disks than may be lost, because the
+# group shrank during an outage.
+def test_controller_without_successor_stays_in_the_group():
+    async def scenario(controllers):
+        await start_group(controllers, gone_after_s=0.5)
+        await controllers.kill(3)
+        await asyncio.sleep(4.0)
+        members = controllers.running[await controllers.wait_leader()].replica.members
+        assert controllers.name(3) in members.voters and len(members.voters) == 3
+
+    run_scenario(scenario)
+
+
 # Guards against a controller with an empty disk that forms a group of its own.
 def test_empty_controller_waits_until_the_group_adds_it():
     async def scenario(controllers):
