--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -15,6 +15,7 @@
 from benchmarks._output import JsonOption, write_json
 from benchmarks._placement_model import (
     Deployment,
+    InformedPool,
     PoolBuilder,
     RequestKind,
     Simulation,
@@ -125,6 +126,10 @@
     return ObjectUnawarePool(selector.entry_id, selector, rng)
 
 
+def _build_informed(selector: TargetSelector, rng: random.Random) -> ServicePool:
+    return InformedPool(selector.entry_id, selector, rng)
+
+
 def _build_baseline(build_pick: Callable[[random.Random], PickTarget]) -> PoolBuilder:
     def build(selector: TargetSelector, rng: random.Random) -> ServicePool:
         baseline = BaselineSelector(entry_id=selector.entry_id)
@@ -152,6 +157,7 @@
 
 POLICIES: dict[str, PoolBuilder] = {
     "present": _build_current,
+    "informed": _build_informed,
     "unaware": _build_unaware,
     "random": _build_baseline(_pick_random),
     "round-robin": _build_baseline(_pick_round_robin),
