Store the end of a cold start in the fleet state

Cause: the state kept the cold start that a target last reported, so an entry that starts probed each target that ever had one.

Change: the announcement with which a cold start ends is committed like the one with which it begins, once for each cold start. Entries that run go on counting down themselves. The new test failed before.

--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -232,6 +232,25 @@
     run_scenario(scenario)
 
 
+# Guards against probes of every target that ever had a cold start by each entry that
+# starts: after a loss of all machines, 182 entries probed 160 targets at once.
+def test_end_of_cold_start_is_stored_for_entries_that_start_later():
+    async def scenario(controllers):
+        await start_group(controllers)
+        first = controllers.running[1]
+        await wait_for(lambda: first.replica.leader() is not None)
+        for sequence, remaining_s in ((1, 2.0), (2, 0.5), (3, 0.0), (4, 0.0)):
+            target = attrs.evolve(
+                TARGET, sequence=sequence, remaining_cold_start_s=remaining_s
+            )
+            assert isinstance(await first.announce_target(target), Success)
+        await wait_for(lambda: "t-1" in first.state.targets)
+        stored = first.state.targets["t-1"]
+        assert (stored.sequence, stored.remaining_cold_start_s) == (3, 0.0)
+
+    run_scenario(scenario)
+
+
 # Guards against large responses that are relayed through another data centre or sent to
 # a controller that has crashed.
 def test_entry_receives_the_live_relays_of_its_data_centre():
--- a/toucanwood/fleet/_target.py
+++ b/toucanwood/fleet/_target.py
@@ -46,14 +46,7 @@
 
     def is_equivalent_to(self, other: "Target") -> bool:
         """Return whether instances need no update from `other` to this target."""
-        is_cold = self.remaining_cold_start_s > 0
-        was_cold = other.remaining_cold_start_s > 0
-        # Instances count down the remaining cold start themselves, so only a new cold
-        # start is a difference.
-        has_new_cold_start = is_cold and not was_cold
-        return (
-            not has_new_cold_start and self._comparison_key() == other._comparison_key()
-        )
+        return self._comparison_key() == other._comparison_key()
 
     def _comparison_key(self) -> tuple[Any, ...]:
         return (
@@ -64,6 +57,9 @@
             self.data_centre,
             self.slots,
             self.state,
+            # Instances count down the remaining cold start themselves. Its end is a
+            # difference for those that start later.
+            self.remaining_cold_start_s > 0,
         )
 
     def to_wire(self) -> list[Any]:
