Compare the placement model with an upper bound of the worth

python -m benchmarks placement prints worth_bound: the first request for each object is cold, all others are warm and wait for nothing, and the slots are filled in the order of worth.

--- a/benchmarks/_placement_model.py
+++ b/benchmarks/_placement_model.py
@@ -11,12 +11,10 @@
 
 from toucanwood.fleet import Target, TargetState
 from toucanwood.placement import (
-    Choice,
     LoadReport,
     Outcome,
     Placed,
     PlacementRequest,
-    Refused,
     ServicePool,
     TargetRecord,
     TargetSelector,
@@ -75,24 +73,8 @@
     slowdown: float = 1.0
     running: int = 0
     queue: list["Job"] = attrs.field(factory=list)
-    # When the running requests will end.
-    ends: list[float] = attrs.field(factory=list)
     warm_objects: "OrderedDict[str, None]" = attrs.field(factory=OrderedDict)
 
-    def predict_end(self, job: "Job", at: float) -> tuple[float, float]:
-        """Return when a request that arrives at `at` would end, and its work."""
-        free_at = sorted([*self.ends, *([at] * (self.slots - len(self.ends)))])
-        for waiting in self.queue:
-            free_at[0] = max(free_at[0], at) + self.compute_work(waiting)
-            free_at.sort()
-        work = self.compute_work(job)
-        return max(free_at[0], at) + work, work
-
-    def compute_work(self, job: "Job") -> float:
-        """Return the mean seconds of work for a request in the present state."""
-        fraction = WARM_WORK_FRACTION if job.key in self.warm_objects else 1.0
-        return job.kind.work_s * fraction * self.slowdown
-
     def use_object(self, key: str) -> bool:
         """Make an object the most recently used; return whether it was warm."""
         was_warm = key in self.warm_objects
@@ -118,50 +100,6 @@
     sent_at: float = 0.0
 
 
-@attrs.define
-class InformedPool(ServicePool):
-    """Place requests with full knowledge of the targets, as a reference.
-
-    Of the targets that answer in time it takes the one with the least work, which is
-    one that has the object warm. A request that would be late runs only in a free slot
-    while half of all slots are free. This is greedy, and no upper bound.
-    """
-
-    _job: Job | None = None
-    _targets: dict[str, ModelTarget] = attrs.field(factory=dict)
-
-    def observe(self, job: Job, targets: dict[str, ModelTarget]) -> None:
-        """Store the state of the targets for the request that is placed next."""
-        self._job, self._targets = job, targets
-
-    def place(self, request: PlacementRequest, now: float) -> Placed | Refused:
-        """Choose a target by its state at the time at which the request arrives."""
-        assert self._job is not None
-        best: tuple[tuple[bool, float, float], TargetRecord] | None = None
-        for record in self.records.values():
-            target = self._targets[record.id]
-            if len(target.queue) >= target.queue_limit:
-                continue
-            end, work = target.predict_end(self._job, now + record.latency_s)
-            end += record.latency_s
-            rank = (end > request.objective_at, work, end)
-            if best is None or rank < best[0]:
-                best = rank, record
-        if best is None:
-            return self.refuse(request, "no_room", now)
-        (is_late, _, end), record = best
-        busy = sum(item.running for item in self._targets.values())
-        slots = sum(item.slots for item in self._targets.values())
-        target = self._targets[record.id]
-        has_free_slot = target.running < target.slots
-        if is_late and (
-            end > request.deadline_at or not has_free_slot or busy > slots / 2
-        ):
-            return self.refuse(request, "would_be_late", now)
-        choice = Choice(record, end - now, has_free_slot, 0.5, True)
-        return Placed(choice, "informed")
-
-
 @attrs.define
 class OutcomeCounts:
     """Outcomes of the requests of one kind."""
@@ -324,8 +262,6 @@
             object_key=job.key,
         )
         pool = self._pools[job.entry_index]
-        if isinstance(pool, InformedPool):
-            pool.observe(job, self._targets)
         decision = pool.place(job.request, self._now)
         if isinstance(decision, Placed):
             number = pool.start(decision, job.request, self._now)
@@ -354,14 +290,11 @@
         fraction = WARM_WORK_FRACTION if target.use_object(job.key) else 1.0
         spread = self._random.uniform(1 - WORK_SPREAD, 1 + WORK_SPREAD)
         work = job.kind.work_s * fraction * spread * target.slowdown
-        end = self._now + work
-        target.ends.append(end)
-        self._schedule(end, lambda: self._finish_work(job, target, end))
+        self._schedule(self._now + work, lambda: self._finish_work(job, target))
 
-    def _finish_work(self, job: Job, target: ModelTarget, end: float) -> None:
+    def _finish_work(self, job: Job, target: ModelTarget) -> None:
         self._send_response(job, target, Outcome.OK)
         target.running -= 1
-        target.ends.remove(end)
         if target.queue:
             self._start_work(target.queue.pop(0), target)
 
@@ -407,6 +340,39 @@
         self._schedule(self._now + delay, lambda: self._submit(job))
 
 
+def compute_worth_bound(
+    deployment: Deployment,
+    *,
+    load: float,
+    seconds: float,
+    slow_targets: int = 0,
+    slow_factor: float = 5.0,
+) -> float:
+    """Return an upper bound of the worth that any placement can earn.
+
+    The first request for each object is cold. All others are warm, wait for nothing and
+    fill the slots in the order of their worth for each second of work.
+    """
+    target_count = sum(deployment.targets_by_region.values())
+    speed = target_count - slow_targets + slow_targets / slow_factor
+    capacity_s = speed * deployment.slots * seconds
+    max_worth = earned_worth = 0.0
+    kinds = sorted(deployment.kinds, key=lambda item: -item.worth / item.work_s)
+    for kind in kinds:
+        requests = kind.rate * load * seconds
+        max_worth += kind.worth * requests
+        objects = kind.object_count * len(deployment.entries_by_region)
+        cold = min(objects, requests, capacity_s / kind.work_s)
+        is_in_time = kind.work_s * (1 - WORK_SPREAD) <= kind.objective_s
+        earned_worth += cold * (kind.worth if is_in_time else kind.late_worth)
+        capacity_s -= cold * kind.work_s
+        warm_work_s = kind.work_s * WARM_WORK_FRACTION
+        warm = max(min(requests - cold, capacity_s / warm_work_s), 0.0)
+        earned_worth += warm * kind.worth
+        capacity_s -= warm * warm_work_s
+    return earned_worth / max(max_worth, 1e-9)
+
+
 def list_candidates(
     selector: TargetSelector, records: Iterable[TargetRecord], request: PlacementRequest
 ) -> list[TargetRecord]:
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -15,10 +15,10 @@
 from benchmarks._output import JsonOption, write_json
 from benchmarks._placement_model import (
     Deployment,
-    InformedPool,
     PoolBuilder,
     RequestKind,
     Simulation,
+    compute_worth_bound,
     list_candidates,
 )
 from toucanwood.placement import (
@@ -126,10 +126,6 @@
     return ObjectUnawarePool(selector.entry_id, selector, rng)
 
 
-def _build_informed(selector: TargetSelector, rng: random.Random) -> ServicePool:
-    return InformedPool(selector.entry_id, selector, rng)
-
-
 def _build_baseline(build_pick: Callable[[random.Random], PickTarget]) -> PoolBuilder:
     def build(selector: TargetSelector, rng: random.Random) -> ServicePool:
         baseline = BaselineSelector(entry_id=selector.entry_id)
@@ -157,7 +153,6 @@
 
 POLICIES: dict[str, PoolBuilder] = {
     "present": _build_current,
-    "informed": _build_informed,
     "unaware": _build_unaware,
     "random": _build_baseline(_pick_random),
     "round-robin": _build_baseline(_pick_round_robin),
@@ -181,6 +176,10 @@
 ) -> None:
     """Simulate one load with every policy and write the outcomes of the requests."""
     figures: dict[str, Any] = {"deployment": deployment, "load": load, "seed": seed}
+    bound = compute_worth_bound(
+        DEPLOYMENTS[deployment], load=load, seconds=seconds, slow_targets=slow
+    )
+    figures["worth_bound"] = round(bound, 3)
     for name, build_pool in POLICIES.items():
         simulation = Simulation(
             DEPLOYMENTS[deployment],
