Serve entries and controllers from settings files of their own

Change: toucanwood serve and check read settings with a role; toucanwood routing (check, diff, apply, get) and evacuation (start, end, list) act on the controllers, which have an HTTP interface of their own in toucanwood.programs. SIGHUP uses further controllers at once and names what needs a restart. The adapter of the platform is as it was.

The test with real processes found a fault of the gateway: it expected its own id in the response to a request without one, but did not send that id. Such a request was answered 502. It sends the id now; on the platform, whose targets reject requests without an id, it does not. test_request_without_id_gets_one_of_the_entry failed before.

--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -9,13 +9,20 @@
 import typer
 
 from toucanwood.cli._client import (
-    OPERATOR_TOKEN_VARIABLE,
     Client,
     CommandError,
     ExitCode,
     quote_segment,
     read_token,
 )
+from toucanwood.cli._options import (
+    DEFAULT_INSTANCE,
+    FileArgument,
+    InstanceOption,
+    TokenOption,
+    load_file,
+)
+from toucanwood.cli._routing import evacuation_app, routing_app
 from toucanwood.declaration import Declaration, diff
 from toucanwood.settings import Settings
 from toucanwood.utils import ValidationError, load_yaml
@@ -34,31 +41,30 @@
 )
 app.add_typer(keys_app, name="keys")
 app.add_typer(voters_app, name="voters")
+app.add_typer(routing_app, name="routing")
+app.add_typer(evacuation_app, name="evacuation")
 
-InstanceOption = Annotated[
-    str,
-    typer.Option("--instance", "-i", help="HTTP address (ip:port) of any instance."),
-]
-TokenOption = Annotated[
-    Path | None,
-    typer.Option(
-        help=f"File with the operator token; default: ${OPERATOR_TOKEN_VARIABLE}."
-    ),
-]
-FileArgument = Annotated[Path, typer.Argument(help="YAML file.")]
 # Fields that a settings file has and a declaration never has.
 DISTINCTIVE_SETTINGS = frozenset({"id", "data_centre", "http", "peer", "peer_secret"})
-DEFAULT_INSTANCE = "127.0.0.1:8101"
 
 
 @app.command()
 def serve(
     settings: Annotated[Path, typer.Argument(help="YAML file with the settings.")],
 ) -> None:
-    """Run an instance until SIGTERM."""
+    """Run an instance, an entry or a controller until SIGTERM.
+
+    The field `role` of the settings names an entry or a controller.
+    """
+    mapping, lines = load_file(settings)
+    if _has_role(mapping):
+        from toucanwood.programs import read_role, serve_role
+
+        role = read_role(mapping, lines)
+        sys.exit(serve_role(role, lambda: read_role(*load_yaml(settings.read_text()))))
     from toucanwood.server import serve_forever
 
-    sys.exit(serve_forever(_read_settings(settings)))
+    sys.exit(serve_forever(Settings.from_config(mapping, lines)))
 
 
 @app.command()
@@ -85,7 +91,13 @@
 @app.command()
 def check(file: FileArgument) -> None:
     """Check a settings file or a declaration and print every error."""
-    mapping, lines = _load_file(file)
+    mapping, lines = load_file(file)
+    if _has_role(mapping):
+        from toucanwood.programs import read_role
+
+        read_role(mapping, lines)
+        typer.echo(f"{file}: valid settings of role {mapping['role']}")
+        return
     document_type = Settings if _is_settings(mapping) else Declaration
     document_type.from_config(mapping, lines)
     typer.echo(f"{file}: valid {document_type.__name__.lower()}")
@@ -232,27 +244,18 @@
         sys.exit(ExitCode.INVALID)
 
 
-def _is_settings(mapping: Any) -> bool:
-    return isinstance(mapping, dict) and not DISTINCTIVE_SETTINGS.isdisjoint(mapping)
+def _has_role(mapping: Any) -> bool:
+    return isinstance(mapping, dict) and "role" in mapping
 
 
-def _load_file(file: Path) -> tuple[Any, dict[str, int]]:
-    try:
-        return load_yaml(file.read_text())
-    except (OSError, UnicodeDecodeError) as error:
-        message = f"{file} can't be read: {error}"
-        raise CommandError(message, ExitCode.INVALID) from None
+def _is_settings(mapping: Any) -> bool:
+    return isinstance(mapping, dict) and not DISTINCTIVE_SETTINGS.isdisjoint(mapping)
 
 
 def _read_declaration(file: Path) -> Declaration:
-    mapping, lines = _load_file(file)
+    mapping, lines = load_file(file)
     return Declaration.from_config(mapping, lines)
 
 
-def _read_settings(file: Path) -> Settings:
-    mapping, lines = _load_file(file)
-    return Settings.from_config(mapping, lines)
-
-
 def _print_json(content: Any) -> None:
     typer.echo(json.dumps(content, indent=2, sort_keys=True))
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -140,6 +140,11 @@
         """Close the connections between instances without a graceful stop."""
         await self.network.stop()
 
+    def add_controllers(self, controllers: tuple[str, ...]) -> None:
+        """Announce this controller to further ones, which changed settings name."""
+        for controller in controllers:
+            self._add_controller(controller)
+
     async def wait_failed(self) -> str:
         """Wait until the data directory fails and return the reason."""
         return await self.replica.wait_failed()
--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -39,10 +39,12 @@
     metrics: str | None = None
 
     @classmethod
-    def from_config(cls, mapping: Mapping[str, Any]) -> "ControllerSettings":
+    def from_config(
+        cls, mapping: Mapping[str, Any], lines: Mapping[str, int] | None = None
+    ) -> "ControllerSettings":
         """Build the settings; raise ValidationError with a list of all faults."""
         errors: list[FieldError] = []
-        reader = MappingReader(mapping, "", errors)
+        reader = MappingReader(mapping, "", errors, lines)
         names = ("id", "data_centre", "region", "control", "directory", "peer")
         values: dict[str, Any] = {name: reader.read(name, str) for name in names}
         values["data_dir"] = reader.read("data_dir", str)
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -86,7 +86,7 @@
         self.entries: frozenset[str] = frozenset()
         # The regions' shares in all requests; empty until a controller has sent them.
         self.demand: dict[str, float] = {}
-        self._add_controllers(controllers)
+        self.add_controllers(controllers)
 
     def start(self) -> None:
         """Start the polls, announcements and usage reports."""
@@ -203,7 +203,7 @@
             return False
         if not isinstance(update, FleetUpdate):
             return False
-        self._add_controllers(update.controllers)
+        self.add_controllers(update.controllers)
         self._probed_versions[index] = update.version
         return _is_proven(update)
 
@@ -236,7 +236,7 @@
         self._poll_timeout_s = POLL_TIMEOUT_S
         if not isinstance(update, FleetUpdate):
             return False
-        self._add_controllers(update.controllers)
+        self.add_controllers(update.controllers)
         self._leader = update.leader or self._leader
         self._on_relays(update.relays)
         is_proven = _is_proven(update)
@@ -303,7 +303,8 @@
         self._quota.apply_fractions(answer.fractions, asyncio.get_running_loop().time())
         return True
 
-    def _add_controllers(self, controllers: "tuple[str, ...] | list[str]") -> None:
+    def add_controllers(self, controllers: "tuple[str, ...] | list[str]") -> None:
+        """Add controllers that are not known yet."""
         for controller in controllers:
             if controller in self._controllers:
                 continue
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -338,6 +338,7 @@
         organisation = context.organisation
         headers = self._header_names.build_target_headers(
             request.headers.items(),
+            request_id=context.request_id,
             target_id=lease.target.id,
             remaining_s=max(remaining, 0.001) if remaining < math.inf else 3600.0,
             organisation=organisation.name if organisation is not None else None,
--- a/toucanwood/gateway/_headers.py
+++ b/toucanwood/gateway/_headers.py
@@ -47,6 +47,8 @@
     answering_target: str = "Toucanwood-Answering-Target"
     cold_remaining_ms: str = "Toucanwood-Cold-Ms"
     object_cookie: str = "toucanwood-object"
+    # Whether a request without an id gets one, so that its response can be recognised.
+    adds_missing_request_id: bool = True
 
     def read_request_id(self, headers: CIMultiDictProxy[str]) -> str:
         """Return the id of a request or response, or "" if it has none."""
@@ -92,6 +94,7 @@
         self,
         headers: Iterable[tuple[str, str]],
         *,
+        request_id: str,
         target_id: str,
         remaining_s: float,
         organisation: str | None,
@@ -106,6 +109,10 @@
         listed = filter_headers(headers, replaced)
         listed.append((self.remaining_ms, str(max(int(remaining_s * MS_PER_S), 1))))
         listed.append((self.target_id, target_id))
+        if self.adds_missing_request_id and not any(
+            name.lower() == self.request_id.lower() for name, _ in listed
+        ):
+            listed.append((self.request_id, request_id))
         if organisation is not None:
             listed.append((self.organisation, organisation))
         return listed
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -117,6 +117,10 @@
         """Close the connections between instances without a graceful stop."""
         await self.network.stop()
 
+    def add_controllers(self, controllers: tuple[str, ...]) -> None:
+        """Use further controllers, which changed settings name."""
+        self.feed.add_controllers(controllers)
+
     async def wait_failed(self) -> str:
         """Wait forever: an entry has no component that can fail permanently."""
         await asyncio.get_running_loop().create_future()
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -38,10 +38,12 @@
     metrics: str | None = None
 
     @classmethod
-    def from_config(cls, mapping: Mapping[str, Any]) -> "GatewaySettings":
+    def from_config(
+        cls, mapping: Mapping[str, Any], lines: Mapping[str, int] | None = None
+    ) -> "GatewaySettings":
         """Build the settings; raise a ValidationError that lists all errors."""
         errors: list[FieldError] = []
-        reader = MappingReader(mapping, "", errors)
+        reader = MappingReader(mapping, "", errors, lines)
         values: dict[str, Any] = {
             name: reader.read(name, str)
             for name in ("id", "data_centre", "region", "listen", "ready", "peer")
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -56,6 +56,24 @@
     run_scenario(scenario, ScriptedTarget("t-1"))
 
 
+# Guards against responses that are skipped as those to other requests, because the
+# caller sent no id and the target could not repeat the id that the entry expects.
+def test_request_without_id_gets_one_of_the_entry():
+    async def scenario(harness):
+        for _ in range(2):
+            reader, writer = await harness.connect()
+            request = harness.build_request("/safe/x").decode()
+            lines = request.split("\r\n")
+            kept = [line for line in lines if not line.startswith(NAMES.request_id)]
+            writer.write("\r\n".join(kept).encode())
+            assert (await read_response(reader))[::2] == (200, b"whole")
+            writer.close()
+        ids = {item.headers[NAMES.request_id] for item in harness.received}
+        assert len(ids) == 2
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
+
+
 def test_shorter_route_timeout_limits_deadline():
     async def scenario(harness):
         await harness.send("/short/x")
--- a/toucanwood/settings/__init__.py
+++ b/toucanwood/settings/__init__.py
@@ -1,5 +1,5 @@
 """Settings of one instance."""
 
-from toucanwood.settings._settings import PeerAddress, Settings
+from toucanwood.settings._settings import PeerAddress, Settings, is_address
 
-__all__ = ["PeerAddress", "Settings"]
+__all__ = ["PeerAddress", "Settings", "is_address"]
--- a/toucanwood/settings/_settings.py
+++ b/toucanwood/settings/_settings.py
@@ -102,12 +102,13 @@
 
 def _read_address(reader: MappingReader, name: str, *default: Any) -> Any:
     address = reader.read(name, str, *default)
-    if address is not None and not _is_address(address):
+    if address is not None and not is_address(address):
         reader.add_error(name, address, "an IP address and port such as 127.0.0.1:8101")
     return address
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
+    """Return whether a text is an IP address and a port."""
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
