Count the time of the start in the lease that a restarted controller respects

Cause: a voter that starts refuses votes for 0.5 s, since the process before it may have confirmed a lease. It counted from the moment at which its disk was open, a third of a second after the process had started.

Change: the time counts from the first import of the program. The process before it had ended by then.

--- a/toucanwood/consensus/_core.py
+++ b/toucanwood/consensus/_core.py
@@ -63,8 +63,13 @@
     """The Raft state of one replica and the transitions between its states."""
 
     def __init__(
-        self, transport: Transport, storage: Storage, state_machine: StateMachine
+        self,
+        transport: Transport,
+        storage: Storage,
+        state_machine: StateMachine,
+        started_at: float = math.inf,
     ) -> None:
+        self._started_at = started_at
         self.id = transport.instance_id
         self.transport = transport
         self.storage = storage
@@ -115,7 +120,7 @@
         # A leader may still hold a lease that this replica confirmed before its
         # restart. Setting the contact time makes this replica refuse votes until that
         # lease has expired.
-        self.leader_contact_at = self.now()
+        self.leader_contact_at = min(self.now(), self._started_at)
         self.election_timer_reset_at = self.leader_contact_at
         self.is_closed = False
 
--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -1,6 +1,7 @@
 """A replica of the replicated log."""
 
 import asyncio
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -35,7 +36,9 @@
     """Keep one state machine equal on all members with a replicated log (Raft).
 
     The algorithm follows Ongaro, "Consensus: Bridging Theory and Practice" (2014),
-    with pre-vote, check-quorum and a leader lease.
+    with pre-vote, check-quorum and a leader lease. `started_at` is a time of the event
+    loop at which this process ran already: no earlier process has confirmed a lease
+    since.
     """
 
     def __init__(
@@ -48,10 +51,11 @@
         snapshot_entries: int = 1000,
         keep_entries: int = 500,
         seed: int | None = None,
+        started_at: float = math.inf,
     ) -> None:
         check_range("snapshot_entries", snapshot_entries, low=1)
         check_range("keep_entries", keep_entries, low=0)
-        self._core = RaftCore(transport, storage, state_machine)
+        self._core = RaftCore(transport, storage, state_machine, started_at)
         self._leadership = Leadership(self._core)
         self._election = Election(
             self._core,
--- a/toucanwood/consensus/tests/test_leadership.py
+++ b/toucanwood/consensus/tests/test_leadership.py
@@ -115,6 +115,23 @@
     assert get_core(cluster, second).term == get_core(cluster, leader).term
 
 
+@on_cluster("abc")
+async def test_the_lease_before_a_restart_ended_while_the_process_started(cluster):
+    # Guards against a group that has no leader for longer than needed after a start of
+    # all: the start of a process takes as long as most of a lease.
+    leader = await cluster.wait_for_leader()
+    first, second = other_ids(cluster, leader)
+    cluster.network.set_faults(leader, second, LinkFaults(is_cut=True))
+    cluster.options["started_at"] = asyncio.get_running_loop().time()
+    await cluster.crash(second)
+    await asyncio.sleep(0.35)
+    await cluster.restart(second)
+    assert not await request_vote(cluster, first, second)
+    await asyncio.sleep(0.16)
+    term = get_core(cluster, second).term + 1
+    assert await request_vote(cluster, first, second, term=term)
+
+
 @on_cluster("abc")
 async def test_a_vote_needs_a_complete_log_and_the_right_incarnation(cluster):
     # Guards against a leader that lacks committed entries, two votes in one term, and
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -39,7 +39,12 @@
 from toucanwood.quota import QuotaCoordinator, Usage
 from toucanwood.relay import RelayServer
 from toucanwood.routing import RoutingTable
-from toucanwood.utils import TaskGroup, ValidationError, run_periodically
+from toucanwood.utils import (
+    TaskGroup,
+    ValidationError,
+    find_program_start,
+    run_periodically,
+)
 from toucanwood.verdicts import Execution, Verdict, build_uncertain_verdict, refuse
 
 log = structlog.get_logger()
@@ -94,6 +99,7 @@
             storage=Storage(FileDisk(settings.data_dir)),
             state_machine=self.state,
             voters=settings.founders,
+            started_at=find_program_start(),
         )
         self._group_manager = GroupManager(
             self.replica,
