--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -224,6 +224,28 @@
     return step
 
 
+def respond_later(seconds, body, running_counts):
+    """Respond after some time; append each count of running requests to a list."""
+
+    async def step(writer, request):
+        running_counts.append(running_counts[-1] + 1 if running_counts else 1)
+        await asyncio.sleep(seconds)
+        running_counts.append(running_counts[-1] - 1)
+        return await respond(body=body)(writer, request)
+
+    return step
+
+
+def respond_slowly(seconds):
+    """Send the response after some time."""
+
+    async def step(writer, request):
+        await asyncio.sleep(seconds)
+        return await respond()(writer, request)
+
+    return step
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- /dev/null
+++ b/toucanwood/gateway/tests/test_large_responses.py
@@ -0,0 +1,169 @@
+"""Tests of large responses: slow links, relays and streams."""
+
+import asyncio
+import contextlib
+
+from toucanwood.gateway.tests.harness import (
+    NAMES,
+    ScriptedTarget,
+    encode_response,
+    read_response,
+    respond,
+    respond_later,
+    respond_without_length,
+    run_scenario,
+)
+from toucanwood.relay import RelayServer
+from toucanwood.relay._protocol import LENGTH_BYTES, Reply
+
+
+# Large responses must not reach the slow link of an entry at the same time.
+def test_pending_large_requests_are_limited_on_slow_link():
+    async def scenario(harness):
+        running_counts = []
+        large = bytes(30_000)
+        target = harness.targets[0]
+        # The first response is fast, so the others take longer than scheduled.
+        times = [0.0, *([0.4] * 6)]
+        target.script = [
+            respond_later(seconds, large, running_counts) for seconds in times
+        ]
+        assert (await harness.send("/large/x"))[0] == 200
+        results = await asyncio.gather(*(harness.send("/large/x") for _ in range(6)))
+        assert [status for status, _, _ in results] == [200] * 6
+        assert all(len(body) == 30_000 for _, _, body in results)
+        assert max(running_counts) <= 2
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+# When the machine of a relay fails, large responses must neither fail nor fill the
+# link.
+def test_large_response_uses_relay_and_falls_back_to_direct_connection():
+    async def scenario(harness):
+        target = harness.targets[0]
+        large = bytes(30_000)
+        target.script = [respond(body=large), respond(body=large)]
+        relay = RelayServer(lambda address: address == target.address)
+        await relay.start("127.0.0.1:0")
+        harness.entry.relays.relays = (relay.address,)
+        status, _, body = await harness.send("/large/x")
+        assert (status, body) == (200, large)
+        assert harness.entry.client.relayed == 1
+        await relay.stop()
+        status, _, body = await harness.send("/large/x")
+        assert (status, body) == (200, large)
+        assert harness.entry.client.relayed == 1
+        assert len(target.received) == 2
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+def respond_in_two_parts(body, seconds):
+    """Send the first half of a response at once and the rest after some time."""
+
+    async def step(writer, request):
+        own_id = request[NAMES.request_id]
+        data = encode_response(200, [], body, request_id=own_id)
+        writer.write(data[: len(data) // 2])
+        await asyncio.sleep(seconds)
+        writer.write(data[len(data) // 2 :])
+        await writer.drain()
+        return True
+
+    return step
+
+
+# Aborting a streamed response at its route's timeout also lost the responses after it
+# on the connection: two requests that had run were reset without a response.
+def test_streamed_response_is_delivered_after_route_timeout():
+    async def scenario(harness):
+        target = harness.targets[0]
+        large = bytes(3_000_000)
+        target.script = [respond_in_two_parts(large, 0.6), respond(body=b"next")]
+        reader, writer = await harness.connect()
+        writer.write(
+            harness.build_request("/short/x") + harness.build_request("/safe/x")
+        )
+        assert (await read_response(reader))[::2] == (200, large)
+        assert (await read_response(reader))[::2] == (200, b"next")
+        writer.close()
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
+
+
+# A relay must not be avoided for seconds because it does not know one new target.
+def test_relay_is_used_after_it_refused_unknown_target():
+    async def scenario(harness):
+        target = harness.targets[0]
+        target.script = [respond(body=bytes(30_000)), respond(body=bytes(30_000))]
+        known = set()
+        relay = RelayServer(lambda address: address in known)
+        await relay.start("127.0.0.1:0")
+        harness.entry.relays.relays = (relay.address,)
+        assert (await harness.send("/large/x"))[0] == 200
+        assert harness.entry.client.relayed == 0
+        known.add(target.address)
+        assert (await harness.send("/large/x"))[0] == 200
+        assert harness.entry.client.relayed == 1
+        await relay.stop()
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+async def start_ending_relay(body):
+    """Start a relay that sends a part of a response without a length and then ends."""
+
+    async def serve(reader, writer):
+        size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+        await reader.readexactly(size)
+        writer.write(Reply.CONNECTED.value)
+        request = (await reader.readuntil(b"\r\n\r\n")).decode()
+        request_id = request.split(f"{NAMES.request_id}: ")[1].split("\r\n")[0]
+        response = encode_response(200, [], body, request_id=request_id, length=False)
+        writer.write(response)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"{host}:{port}"
+
+
+# Guards against a part of a response that is passed on as a complete success because
+# the process of a relay has ended: its connections close as those of a target do.
+def test_response_without_length_is_incomplete_when_its_relay_ends():
+    async def scenario(harness):
+        server, address = await start_ending_relay(bytes(30_000))
+        harness.entry.relays.relays = (address,)
+        reader, writer = await harness.connect()
+        writer.write(harness.build_request("/large/x"))
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            received = await reader.read(-1)
+        assert not received.startswith(b"HTTP/1.1 200") or not received.endswith(
+            b"0\r\n\r\n"
+        )
+        writer.close()
+        server.close()
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+def test_response_without_length_is_relayed_completely():
+    async def scenario(harness):
+        target = harness.targets[0]
+        target.script = [respond_without_length(bytes(30_000))]
+        relay = RelayServer(lambda address: address == target.address)
+        await relay.start("127.0.0.1:0")
+        harness.entry.relays.relays = (relay.address,)
+        reader, writer = await harness.connect()
+        writer.write(harness.build_request("/large/x", Connection="close"))
+        received = await reader.read(-1)
+        assert harness.entry.client.relayed == 1
+        assert received.startswith(b"HTTP/1.1 200") and received.endswith(b"0\r\n\r\n")
+        assert received.count(b"\x00") == 30_000
+        writer.close()
+        await relay.stop()
+
+    run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
