--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -88,6 +88,39 @@
         typer.echo(f"{line.source}: {line.text}")
 
 
+@app.command()
+def report(
+    files: Annotated[list[Path], typer.Argument(help="Log files of instances.")],
+    out: Annotated[Path, typer.Option(help="HTML file to write.")] = Path(
+        "report.html"
+    ),
+    title: Annotated[str, typer.Option(help="Title of the page.")] = "toucanwood",
+) -> None:
+    """Write an HTML page with plots of what the instances logged."""
+    from toucanwood.report import Timeline, build_page
+    from toucanwood.request_history import LogLine, parse_line
+
+    lines: list[LogLine] = []
+    with typer.progressbar(files, label="Reading logs", file=sys.stderr) as progress:
+        for file in progress:
+            try:
+                text = file.read_text(errors="replace")
+            except OSError as error:
+                message = f"{file} can't be read: {error}"
+                raise CommandError(message, ExitCode.INVALID) from None
+            parsed = (parse_line(line, file.name) for line in text.splitlines())
+            lines += [line for line in parsed if line is not None]
+    if not lines:
+        raise CommandError("the files have no log line", ExitCode.INVALID)
+    try:
+        page = build_page(Timeline.from_lines(lines), title)
+    except ImportError:
+        message = "the report needs matplotlib: pip install 'toucanwood[report]'"
+        raise CommandError(message, ExitCode.INVALID) from None
+    out.write_text(page)
+    typer.echo(f"{out}: {len(lines)} log lines")
+
+
 @app.command()
 def check(file: FileArgument) -> None:
     """Check a settings file or a declaration and print every error."""
--- a/toucanwood/cli/tests/test_commands.py
+++ b/toucanwood/cli/tests/test_commands.py
@@ -63,6 +63,13 @@
     assert status == 2 and "peer_secret" in err and "regions" not in err
 
 
+def test_report_of_files_without_log_lines_is_an_error():
+    # Guards against an empty page, or a traceback, for a wrong file.
+    for name in ("/nonexistent.log", EXAMPLES / "declaration.yaml"):
+        status, _, err = run_command("report", name)
+        assert status == 2 and err.splitlines()[-1].startswith("error: ")
+
+
 def test_errors_are_one_line_with_an_exit_status():
     # Guards against tracebacks for files or instances that can't be reached.
     cases = [
@@ -71,6 +78,9 @@
         (("get", "--instance", UNREACHABLE), 4),
         (("lookup", "s", "--instance", UNREACHABLE), 4),
         (("get", "--token-file", "/nonexistent"), 2),
+        (("routing", "check", "/nonexistent.yaml"), 2),
+        (("routing", "get", "--instance", UNREACHABLE), 4),
+        (("evacuation", "start", "a", "--instance", UNREACHABLE), 4),
     ]
     for arguments, expected in cases:
         status, _, err = run_command(*arguments)
