--- a/toucanwood/report/_page.py
+++ b/toucanwood/report/_page.py
@@ -13,12 +13,14 @@
 # Events in the table; a storm of configurations would fill the page.
 MAX_LISTED_MARKS = 200
 PLOT_SIZE_INCHES = (9.0, 2.6)
+# The same margins in each plot, so that their time lines are aligned.
+PLOT_MARGINS = {"left": 0.07, "right": 0.77, "top": 0.96, "bottom": 0.2}
 STYLE = """
 body { font-family: system-ui, sans-serif; margin: 1rem auto; max-width: 60rem;
   padding: 0 1rem; line-height: 1.4; color: #222; background: #fff; }
 figure { margin: 1.5rem 0; }
 figcaption { font-weight: 600; }
-svg { width: 100%; height: auto; }
+svg { width: 100%; min-width: 40rem; height: auto; }
 .scroll { overflow-x: auto; }
 table { border-collapse: collapse; }
 td, th { padding: .2rem .8rem .2rem 0; text-align: left; vertical-align: top; }
@@ -46,7 +48,8 @@
         ),
     ]
     plots = "\n".join(
-        f"<figure><figcaption>{caption}</figcaption>{svg}</figure>"
+        f"<figure><figcaption>{caption}</figcaption>"
+        f'<div class="scroll">{svg}</div></figure>'
         for caption, svg in figures
     )
     start = timeline.started_at.strftime("%Y-%m-%d %H:%M:%S")
@@ -62,8 +65,8 @@
 <h1>{html.escape(title)}</h1>
 <p>{timeline.line_count} log lines from {start} UTC on, {timeline.duration_s:.0f} s.
 Entries log every failure and retry, but only a sample of the requests that were
-answered at the first attempt. Vertical lines mark elections (solid) and configurations
-(dotted).</p>
+answered at the first attempt. Vertical lines mark elections (solid) and orders of the
+operator (dotted).</p>
 {_build_outcome_table(timeline)}
 {plots}
 {_build_mark_table(timeline)}
@@ -74,7 +77,8 @@
 
 def _draw(figure_type: Any, timeline: Timeline, plot: Any) -> str:
     """Return one plot as an SVG element."""
-    figure = figure_type(figsize=PLOT_SIZE_INCHES, layout="constrained")
+    figure = figure_type(figsize=PLOT_SIZE_INCHES)
+    figure.subplots_adjust(**PLOT_MARGINS)
     axes = figure.add_subplot()
     plot(axes, timeline)
     for mark in timeline.marks:
@@ -141,7 +145,7 @@
 
 def _build_mark_table(timeline: Timeline) -> str:
     if not timeline.marks:
-        return "<p>No election and no configuration was logged.</p>"
+        return "<p>No election and no order was logged.</p>"
     rows = "".join(
         f'<tr><td class="number">{mark.at:.2f}</td><td>{mark.label}</td>'
         f"<td>{html.escape(mark.detail)}</td></tr>"
--- a/toucanwood/report/_timeline.py
+++ b/toucanwood/report/_timeline.py
@@ -118,7 +118,11 @@
                 for name in ("replica", "term", "revision", "status")
                 if name in line.pairs
             )
-            self.marks.append(Mark(at, MARKED_EVENTS[line.event], detail))
+            label = MARKED_EVENTS[line.event]
+            if line.pairs.get("revision") == "0":
+                # Orders that are no configuration have no revision.
+                label = "evacuation"
+            self.marks.append(Mark(at, label, detail))
 
 
 def _count_request(interval: Interval, line: LogLine) -> None:
