--- a/tools/play_sites.py
+++ b/tools/play_sites.py
@@ -1,8 +1,8 @@
 """Play the regression runs on the users' bench, one site after the other.
 
 ``python -m tools.play_sites BENCH SYSTEM_DIR OUT_DIR`` scores every site and hunts on
-it. The output of each play goes to a file; the exit status is 1 if a gate failed, a rule
-was broken, or a play did not end.
+it. The output of each play goes to a file; the exit status is 1 if a gate failed, a
+rule was broken, or a play did not end.
 """
 
 import pathlib
