Remove a controller by an operator's command

toucanwood controllers list shows the group, remove takes a member out at the leader. A removal after which the live voters would be no majority is refused.

--- a/examples/tests/test_roles.py
+++ b/examples/tests/test_roles.py
@@ -181,6 +181,10 @@
         assert roles.request("/status/1", key="unknown") == (200, b"/status/1")
         check_evacuation(roles)
         check_reload(roles)
+        expected = "127.0.1.1 voter live\n"
+        assert roles.run_command("controllers", "list") == (0, expected)
+        # The last voter stays.
+        assert roles.run_command("controllers", "remove", "127.0.1.1")[0] == 3
         assert roles.stop() == [0, 0]
 
 
--- a/toucanwood/cli/_commands.py
+++ b/toucanwood/cli/_commands.py
@@ -15,6 +15,7 @@
     quote_segment,
     read_token,
 )
+from toucanwood.cli._controllers import controllers_app
 from toucanwood.cli._options import (
     DEFAULT_INSTANCE,
     FileArgument,
@@ -41,6 +42,7 @@
 )
 app.add_typer(keys_app, name="keys")
 app.add_typer(voters_app, name="voters")
+app.add_typer(controllers_app, name="controllers")
 app.add_typer(routing_app, name="routing")
 app.add_typer(evacuation_app, name="evacuation")
 
--- a/toucanwood/controller/_group.py
+++ b/toucanwood/controller/_group.py
@@ -1,11 +1,14 @@
 """Automatic membership changes of the consensus group of the controllers."""
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 import structlog
+from returns.result import Failure, Result
 
 from toucanwood.consensus import MemberRole, Members, Replica
+from toucanwood.verdicts import Verdict, refuse
 
 log = structlog.get_logger()
 
@@ -95,12 +98,45 @@
         self._now = now
         self._liveness = MemberLiveness(gone_after_s)
 
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the members with their role and whether they are live."""
+        live = self._list_present()
+        return [
+            {"id": key, "role": member.role.value, "is_live": key in live}
+            for key, member in sorted(self._replica.members.by_id.items())
+        ]
+
+    async def remove(self, controller: str) -> Result[Any, Verdict]:
+        """Remove a member at the order of an operator; only the leader can.
+
+        A removal after which the live voters would be no majority is refused. A live
+        controller that is removed joins again.
+        """
+        if not self._replica.is_leader():
+            leader = self._replica.leader() or "unknown"
+            message = f"only the leader removes controllers; it is {leader}"
+            return Failure(refuse("not_leader", message, status=409))
+        remaining = set(self._replica.members.voters) - {controller}
+        live_count = len(remaining & self._list_present())
+        if 2 * live_count <= len(remaining):
+            message = (
+                f"{live_count} of the {len(remaining)} remaining voters are live, "
+                "which is no majority"
+            )
+            return Failure(refuse("majority_lost", message, status=409))
+        result = await self._replica.remove(controller)
+        log.info("controller_removed", id=controller, result=str(result))
+        return result
+
+    def _list_present(self) -> set[str]:
+        return {self._own_id, *self._list_live()}
+
     async def apply_next_change(self) -> None:
         """Make at most one membership change if this controller is the leader."""
         if not self._replica.is_leader():
             return
         members = self._replica.members
-        live = {self._own_id, *self._list_live()}
+        live = self._list_present()
         gone = self._liveness.list_gone(members.by_id, live, self._now())
         for controller in sorted(live - set(members.by_id)):
             result = await self._replica.add_learner(controller)
--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -174,6 +174,14 @@
             return Failure(_refuse("state_stale", message))
         return Success((self.state.revision, self.state.document))
 
+    def describe_group(self) -> list[dict[str, Any]]:
+        """Return the controllers of the group, their roles and whether they live."""
+        return self._group_manager.describe()
+
+    async def remove_controller(self, controller: str) -> Result[Any, Verdict]:
+        """Remove a controller that is gone for good; only the leader can."""
+        return await self._group_manager.remove(controller)
+
     async def announce_target(self, target: Target) -> Result[None, Verdict]:
         """Process the announcement of a target; success acknowledges it."""
         now = self._now()
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -146,6 +146,31 @@
         assert find_removable_member(build(voters, learners), gone) == removable
 
 
+# Guards against a command that ends the service of the group.
+def test_operator_removes_a_gone_controller_but_not_the_majority():
+    async def scenario(controllers):
+        await start_group(controllers)
+        number = await controllers.wait_leader()
+        leader = controllers.running[number]
+        gone, other = (item for item in (1, 2, 3) if item != number)
+        refused = await controllers.running[other].remove_controller("x")
+        assert refused.failure().code == "not_leader"
+        await controllers.kill(gone)
+        name = controllers.name(gone)
+        await wait_for(
+            lambda: (
+                {"id": name, "role": "voter", "is_live": False}
+                in leader.describe_group()
+            )
+        )
+        refused = await leader.remove_controller(controllers.name(other))
+        assert refused.failure().code == "majority_lost"
+        assert isinstance(await leader.remove_controller(name), Success)
+        assert name not in leader.replica.members.by_id
+
+    run_scenario(scenario)
+
+
 # Guards against orders that are stored on fewer disks than may be lost, because the
 # group shrank during an outage.
 def test_controller_without_successor_stays_in_the_group():
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -70,6 +70,8 @@
             ("GET", "evacuations"): (self._list_evacuations, operator),
             ("PUT", "evacuations"): (self._start_evacuation, operator),
             ("DELETE", "evacuations"): (self._end_evacuation, operator),
+            ("GET", "controllers"): (self._list_controllers, operator),
+            ("DELETE", "controllers"): (self._remove_controller, operator),
             ("GET", "dump"): (self._dump, operator),
         }
 
@@ -189,6 +191,15 @@
             raise _ApiError(refuse("data_centre_unknown", message, status=400))
         return await self._submit(SetEvacuation(data_centre, is_evacuated))
 
+    async def _list_controllers(self, request: CallerRequest, _: str) -> dict[str, Any]:
+        return {"controllers": self._controller.describe_group()}
+
+    async def _remove_controller(
+        self, request: CallerRequest, controller: str
+    ) -> dict[str, Any]:
+        _unwrap(await self._controller.remove_controller(controller))
+        return {"removed": controller}
+
     async def _dump(self, request: CallerRequest, _: str) -> dict[str, Any]:
         return self._controller.dump()
 
