Let the targets of the soak repeat earlier responses

A target sends its last answer or refusal once more when its connection is in use again, for 3% of the requests. Connections of the targets are closed when a run ends.

--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -12,10 +12,13 @@
 QUEUE_LENGTH = 12
 ANNOUNCE_INTERVAL_S = 0.5
 PROCESSING_TIME_S = 0.02
+# Probability that a target sends its last response of a connection once more, an
+# answer or a refusal, when the connection is in use again.
+REPEAT_PROBABILITY = 0.03
 
 
 class FaultyTarget:
-    """Target that sheds some requests and drops the responses of some others."""
+    """Target that sheds some requests, and drops or repeats some responses."""
 
     def __init__(self, number, address, announced_address, fleet, rng, history):
         # Address of the proxy through which requests reach the target.
@@ -30,7 +33,8 @@
         self._running = 0
         self._sequence = 0
         self._tasks = set()
-        self._writers = set()
+        # The last response of each connection.
+        self._last_responses = {}
 
     async def start(self):
         host, _, port = self.address.rpartition(":")
@@ -88,10 +92,13 @@
         self._spawn(self._serve_connection(reader, writer))
 
     async def _serve_connection(self, reader, writer):
-        with contextlib.suppress(OSError, EOFError):
-            while await self._serve_request(reader, writer):
-                pass
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, EOFError):
+                while await self._serve_request(reader, writer):
+                    pass
+        finally:
+            self._last_responses.pop(writer, None)
+            writer.close()
 
     async def _serve_request(self, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -99,6 +106,8 @@
         # The case of header names may change in transit.
         headers = CIMultiDict(item.split(": ", 1) for item in header_lines)
         body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+        if self._rng.random() < REPEAT_PROBABILITY:
+            writer.write(self._last_responses.get(writer, b""))
         request_id = headers.get("X-Request-Id", "")
         if request_line.split()[1] == "/health":
             self._write_response(writer, 200, request_id, b"", signed=False)
@@ -139,4 +148,6 @@
         head_lines.append(f"X-Instance-Id: {self.id}")
         head_lines.append(f"X-Server-Load: {max(self._running, 1)},0,{SLOTS}")
         head_lines.append(f"Content-Length: {len(body)}")
-        writer.write(("\r\n".join(head_lines) + "\r\n\r\n").encode() + body)
+        response = ("\r\n".join(head_lines) + "\r\n\r\n").encode() + body
+        self._last_responses[writer] = response
+        writer.write(response)
