--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -10,6 +10,7 @@
 from toucanwood.consensus import FileDisk, Replica, Storage
 from toucanwood.controller._directory import EntryDirectory, EntryInfo
 from toucanwood.controller._group import CHECK_INTERVAL_S, GroupManager
+from toucanwood.controller._known_controllers import KnownControllers
 from toucanwood.controller._messages import (
     DEFAULT_SECRET,
     AnnounceController,
@@ -53,7 +54,6 @@
 # Time for which the list of live entries is cached. Every poll needs the list, and both
 # its length and the number of polls grow with the number of entries.
 ENTRIES_CACHE_S = 0.1
-CONTROLLER_TIMEOUT_S = 2.0
 EXPIRY_INTERVAL_S = 1.0
 # Timeout for committing an order. Clients try another controller after a second without
 # an answer, so this has to be shorter.
@@ -86,8 +86,9 @@
         self._liveness = TargetLiveness()
         self._quota = QuotaCoordinator()
         self._tasks = TaskGroup()
-        self._controllers: dict[str, float] = {}
-        self._data_centres: dict[str, str] = {settings.id: settings.data_centre}
+        self._known = KnownControllers(
+            settings.id, settings.data_centre, on_added=self._set_peer_address
+        )
         self._cached_entries: tuple[list[str], int] = ([], 0)
         self._entries_cached_at = float("-inf")
         self._cached_table: tuple[int, RoutingTable | None] = (0, None)
@@ -103,21 +104,19 @@
         )
         self._group_manager = GroupManager(
             self.replica,
-            self._list_live_controllers,
+            lambda: self._known.list_live(self._now()),
             own_id=settings.id,
             gone_after_s=settings.gone_after_s,
             now=self._now,
         )
         self._register_handlers()
-        for controller in (*settings.controllers, *settings.founders):
-            self._add_controller(controller)
+        self._known.add((*settings.controllers, *settings.founders))
 
     async def start(self) -> None:
         """Start every component; raise DamagedStorageError or OSError."""
         await self.network.start()
         await self.replica.start()
-        for controller in self.replica.members.by_id:
-            self._add_controller(controller)
+        self._known.add(self.replica.members.by_id)
         steps = (
             (self._gossip, GOSSIP_INTERVAL_S, "gossip"),
             (self._group_manager.apply_next_change, CHECK_INTERVAL_S, "group"),
@@ -148,8 +147,7 @@
 
     def add_controllers(self, controllers: tuple[str, ...]) -> None:
         """Announce this controller to further ones, which changed settings name."""
-        for controller in controllers:
-            self._add_controller(controller)
+        self._known.add(controllers)
 
     async def wait_failed(self) -> str:
         """Wait until the data directory fails and return the reason."""
@@ -240,7 +238,7 @@
             "targets": len(self.state.targets),
             "evacuated": sorted(self.state.evacuated),
             "entries": self.directory.dump(self._now()),
-            "controllers": sorted(self._controllers),
+            "controllers": self._known.list_known(),
             "quota": self._quota.dump(),
             "network": self.network.dump(),
         }
@@ -272,7 +270,7 @@
             "entries_known": len(self.directory.list_live(self._now())),
             "targets_known": len(self.state.targets),
             "relayed_connections": self.relay.connection_count,
-            "controllers_known": len(self._controllers),
+            "controllers_known": len(self._known.list_known()),
         }
 
     def _register_handlers(self) -> None:
@@ -307,7 +305,7 @@
             changes=changes,
             state=state,
             leader=self.replica.leader() or "",
-            controllers=sorted(self._controllers),
+            controllers=self._known.list_known(),
             relays=self._list_relays(self.directory.find_data_centre(sender)),
             entries=None if checksum == request.entries_mark else entries,
             entries_mark=checksum,
@@ -354,11 +352,8 @@
         self, sender: str, request: AnnounceController
     ) -> None:
         now = self._now()
-        self._add_controller(sender)
-        self._controllers[sender] = now
-        self._data_centres[sender] = request.data_centre
-        for controller in request.controllers:
-            self._add_controller(controller)
+        self._known.record_announcement(sender, request.data_centre, now)
+        self._known.add(request.controllers)
         self._liveness.merge_shared(request.heard, now)
 
     async def _answer_order(self, sender: str, request: SubmitOrder) -> OrderAnswer:
@@ -395,14 +390,13 @@
     async def _gossip(self) -> None:
         """Send the known controllers and recent announcements to all others."""
         message = AnnounceController(
-            controllers=sorted(self._controllers),
+            controllers=self._known.list_known(),
             heard=self._liveness.take_unshared(),
             is_member=self.replica.is_member,
             data_centre=self.settings.data_centre,
         )
-        for controller in list(self._controllers):
-            if controller != self.settings.id:
-                self._send(controller, message)
+        for controller in self._known.list_known():
+            self._send(controller, message)
 
     def _send(self, controller: str, message: Any) -> None:
         try:
@@ -429,23 +423,15 @@
             )
         )
 
-    def _add_controller(self, controller: str) -> None:
-        if controller == self.settings.id or controller in self._controllers:
-            return
-        self._controllers[controller] = float("-inf")
+    def _set_peer_address(self, controller: str) -> None:
         address = f"{controller}:{self.settings.peer_port}"
         self.network.set_address(controller, address)
 
-    def _list_live_controllers(self) -> list[str]:
-        oldest = self._now() - CONTROLLER_TIMEOUT_S
-        return [key for key, at in self._controllers.items() if at > oldest]
-
     def _list_relays(self, data_centre: str | None) -> list[str]:
         """Return the live controllers of a data centre, which serve as relays."""
         if data_centre is None or self.settings.relay_port is None:
             return []
-        live = [self.settings.id, *self._list_live_controllers()]
-        return [item for item in live if self._data_centres.get(item) == data_centre]
+        return self._known.list_in_data_centre(data_centre, self._now())
 
     def _is_target_address(self, address: str) -> bool:
         return any(item.address == address for item in self.state.targets.values())
