--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -168,6 +168,7 @@
         return await self._submit(PutRouting(int(base), revision, document))
 
     async def _list_evacuations(self, request: CallerRequest, _: str) -> dict[str, Any]:
+        # Fails unless the state is proven to be current.
         _unwrap(self._controller.read_routing())
         return {"evacuated": sorted(self._controller.state.evacuated)}
 
