--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -30,6 +30,8 @@
     FleetState,
     Order,
     OrderResult,
+    PatchRouting,
+    PutRouting,
     RemoveTarget,
     ReportTarget,
     Target,
@@ -158,8 +160,20 @@
 
         A failed result states whether the order may have been committed.
         """
+        started = self._now()
         result = await self._submit(pack_order(order))
         self.metrics.count_event(type(order).__name__, _describe(result))
+        if isinstance(order, PutRouting | PatchRouting):
+            log.info(
+                "routing_submitted",
+                revision=order.revision,
+                base=order.base_revision,
+                result=_describe(result),
+                status=str(result.map(lambda item: item.status.value).value_or("")),
+                leader=self.replica.leader() or "",
+                version=self.state.version,
+                seconds=round(self._now() - started, 3),
+            )
         return result
 
     def read_routing(self) -> Result[tuple[int, dict[str, Any]], Verdict]:
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -35,6 +35,8 @@
 MAX_UNREPORTED_S = 0.45
 # Maximum age of a polled state that is accepted as proven current.
 MAX_STATE_AGE_S = 1.0
+# Age from which the state is reported as stale, once until it is proven again.
+STALE_STATE_AGE_S = 1.5
 # Interval between the probes of each controller before the first state, and timeout of
 # a probe.
 PROBE_INTERVAL_S = 0.1
@@ -81,6 +83,7 @@
         self._poll_timeout_s = POLL_TIMEOUT_S
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
+        self._is_reported_stale = False
         # Versions of the controllers that answered a probe, by index.
         self._probed_versions: dict[int, int] = {}
         self.entries: frozenset[str] = frozenset()
@@ -117,14 +120,13 @@
 
     def dump(self) -> dict[str, Any]:
         """Return a JSON-serialisable description."""
-        now = asyncio.get_running_loop().time()
         return {
             "controllers": self._controllers,
             "current": self._controllers[self._current_index]
             if self._controllers
             else "",
             "leader": self._leader,
-            "age_s": round(min(self.measure_state_age(now), 1e9), 2),
+            "age_s": self._get_rounded_age(),
             "entries": sorted(self.entries),
         }
 
@@ -213,6 +215,7 @@
         try:
             is_current = await self._poll()
         finally:
+            self._report_staleness()
             if not is_current:
                 self._current_index = (self._current_index + 1) % max(
                     len(self._controllers), 1
@@ -242,8 +245,10 @@
         is_proven = _is_proven(update)
         may_be_stale = self._view.table is None and self._has_waited_for_proof()
         if not (is_proven or may_be_stale):
+            self._log_unused_update(controller, update, "not proven current")
             return False
         if update.version < self._view.version:
+            self._log_unused_update(controller, update, "older than the view")
             return False
         self._apply_update(update)
         if is_proven:
@@ -275,7 +280,14 @@
             self._demand_mark = update.demand_mark
             changed = True
         if self._view.revision != revision:
-            log.info("routing_applied", revision=self._view.revision, before=revision)
+            log.info(
+                "routing_applied",
+                revision=self._view.revision,
+                before=revision,
+                version=update.version,
+                controller=self._controllers[self._current_index],
+                age_s=round(update.age_s, 2),
+            )
         if changed:
             self._on_update()
 
@@ -312,7 +324,47 @@
             self._controllers.append(controller)
 
     def _log_lost_controller(self, controller: str, reason: str) -> None:
-        log.info("controller_lost", id=controller, reason=reason)
+        log.info(
+            "controller_lost",
+            id=controller,
+            reason=reason,
+            timeout_s=self._poll_timeout_s,
+            state_age_s=self._get_rounded_age(),
+        )
+
+    def _log_unused_update(
+        self, controller: str, update: FleetUpdate, reason: str
+    ) -> None:
+        log.info(
+            "update_unused",
+            controller=controller,
+            reason=reason,
+            version=update.version,
+            age_s=round(update.age_s, 2),
+            own_version=self._view.version,
+            state_age_s=self._get_rounded_age(),
+        )
+
+    def _report_staleness(self) -> None:
+        """Log once when the state becomes stale, and once when it is proven again."""
+        if self._view.table is None:
+            return
+        age = self._get_rounded_age()
+        is_stale = age > STALE_STATE_AGE_S
+        if is_stale == self._is_reported_stale:
+            return
+        self._is_reported_stale = is_stale
+        log.info(
+            "state_stale" if is_stale else "state_proven",
+            controller=self._controllers[self._current_index],
+            age_s=age,
+            version=self._view.version,
+            revision=self._view.revision,
+        )
+
+    def _get_rounded_age(self) -> float:
+        now = asyncio.get_running_loop().time()
+        return round(min(self.measure_state_age(now), 1e9), 2)
 
 
 def _is_proven(update: FleetUpdate) -> bool:
