Probe several controllers at once after the polled one is lost

Cause: an entry tried one controller after the other, with time-outs of 0.5, 1, 2, 2 ... s, and kept the configuration it had meanwhile. With three unreachable controllers in a row (a lost region; replaced controllers stay in the list) that exceeds the time in which an accepted change must be in force. Change: after a failed poll, probes without state go to three further controllers every 0.25 s, earlier ones stay pending, and the first controller that proves a state at least as new as the entry's is polled. The time-out of a poll still doubles, for long replies on slow links.

--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -1,7 +1,9 @@
 """The client of the controllers: fleet state, announcements and quota usage."""
 
 import asyncio
-from collections.abc import Callable
+import itertools
+import math
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import structlog
@@ -37,13 +39,14 @@
 MAX_STATE_AGE_S = 1.0
 # Age from which the state is reported as stale, once until it is proven again.
 STALE_STATE_AGE_S = 1.5
-# Interval between the probes of each controller before the first state, and timeout of
-# a probe.
-PROBE_INTERVAL_S = 0.1
-PROBE_TIMEOUT_S = 0.25
-# Number of controllers that are probed at the same time, and time after which the next
-# ones are probed.
+# Number of controllers to which probes are sent at each interval; the interval before
+# the first state, and the one after a controller was lost. All entries probe at the
+# same time if there is no leader.
 PROBED_CONTROLLERS = 3
+PROBE_INTERVAL_S = 0.1
+RESELECT_INTERVAL_S = 0.25
+# Timeout of a probe, and time for which one search lasts before the first state.
+PROBE_TIMEOUT_S = 2.0
 PROBE_ROUND_S = 0.5
 # Version in a probe. It is newer than that of any state, so no answer carries a state.
 PROBE_VERSION = 2**62
@@ -143,7 +146,9 @@
         )
 
     async def _get_first_state(self) -> None:
-        is_selected = await self._select_current_controller()
+        is_selected = await self._select_proven_controller(
+            self._current_index, interval_s=PROBE_INTERVAL_S, wait_s=PROBE_ROUND_S
+        )
         if not is_selected and self._has_waited_for_proof() and self._probed_versions:
             # Without a leader, no state can be proven. A controller that has just been
             # started may lack the withdrawal of a key or of a target.
@@ -153,44 +158,67 @@
             self._probed_versions.pop(self._current_index)
             is_selected = True
         if is_selected:
-            await self._poll_with_failover()
+            await self._poll_and_log()
 
     def _has_waited_for_proof(self) -> bool:
         now = asyncio.get_running_loop().time()
         return now - self._started_at > FIRST_STATE_WAIT_S
 
-    async def _select_current_controller(self) -> bool:
-        """Probe several controllers at once; select the first with a proven state.
+    async def _select_proven_controller(
+        self, first: int, *, interval_s: float, wait_s: float
+    ) -> bool:
+        """Probe controllers until one proves its state; return whether one has.
 
-        Return whether there is one. The answers to probes carry no state: several
-        copies would delay each other on a slow link.
+        Probes go to a few further controllers at each interval, in the order of the
+        list from index `first`. Earlier probes stay pending, since a reply may be slow
+        on a busy link. The answers to probes carry no state: several copies would
+        delay each other.
         """
-        known = len(self._controllers)
-        indexes = {
-            (self._current_index + offset) % known
-            for offset in range(min(PROBED_CONTROLLERS, known))
-        }
-        probes = {
-            asyncio.ensure_future(self._probe_until_proven(index)): index
-            for index in indexes
-        }
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        probes: dict[asyncio.Task[bool], int] = {}
+        indexes = itertools.count(first)
         try:
-            done, _ = await asyncio.wait(
-                probes, timeout=PROBE_ROUND_S, return_when=asyncio.FIRST_COMPLETED
-            )
-            for probe in done:
-                probe.result()
-                self._current_index = probes[probe]
-            if not done:
-                self._current_index = (self._current_index + len(indexes)) % known
-            return bool(done)
+            while loop.time() < deadline:
+                self._start_probes(probes, indexes)
+                if await self._wait_for_proof(probes, loop.time() + interval_s):
+                    return True
+                self._report_staleness()
+            self._current_index = next(indexes) % len(self._controllers)
+            return False
         finally:
             for probe in probes:
                 probe.cancel()
 
-    async def _probe_until_proven(self, index: int) -> None:
-        while not await self._probe(index):
-            await asyncio.sleep(PROBE_INTERVAL_S)
+    def _start_probes(
+        self, probes: dict[asyncio.Task[bool], int], indexes: Iterator[int]
+    ) -> None:
+        """Probe the next controllers that no probe is pending for."""
+        known = len(self._controllers)
+        for number in itertools.islice(indexes, min(PROBED_CONTROLLERS, known)):
+            index = number % known
+            if index not in probes.values():
+                probe = asyncio.ensure_future(self._probe(index))
+                probes[probe] = index
+
+    async def _wait_for_proof(
+        self, probes: dict[asyncio.Task[bool], int], until: float
+    ) -> bool:
+        """Wait until a probe finds a proven state, which selects its controller."""
+        loop = asyncio.get_running_loop()
+        while probes and loop.time() < until:
+            done, _ = await asyncio.wait(
+                probes,
+                timeout=until - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for probe in done:
+                index = probes.pop(probe)
+                if probe.result():
+                    self._current_index = index
+                    return True
+        await asyncio.sleep(until - loop.time())
+        return False
 
     async def _probe(self, index: int) -> bool:
         """Return whether the state of a controller is proven; record its version."""
@@ -207,19 +235,23 @@
             return False
         self.add_controllers(update.controllers)
         self._probed_versions[index] = update.version
-        return _is_proven(update)
+        return _is_proven(update) and update.version >= self._view.version
 
     async def _poll_with_failover(self) -> None:
-        """Poll one controller; select the next one after a failure or a stale state."""
-        is_current = False
+        """Poll one controller; select another one if it does not prove its state."""
+        if not await self._poll_and_log():
+            await self._select_proven_controller(
+                self._current_index + 1,
+                interval_s=RESELECT_INTERVAL_S,
+                wait_s=math.inf,
+            )
+
+    async def _poll_and_log(self) -> bool:
+        """Poll the selected controller; return whether its state is proven current."""
         try:
-            is_current = await self._poll()
+            return await self._poll()
         finally:
             self._report_staleness()
-            if not is_current:
-                self._current_index = (self._current_index + 1) % max(
-                    len(self._controllers), 1
-                )
 
     async def _poll(self) -> bool:
         """Poll the selected controller; return whether its state is proven current."""
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -17,6 +17,9 @@
 from toucanwood.verdicts import Execution
 
 ROUND_TRIP_S = 0.07
+# Time within which an accepted configuration must be in force at an entry that reaches
+# a controller with a proven state.
+MAX_APPLY_S = 2.0
 STATE = encode_payload([1, build_routing_document(), [], []])
 
 
@@ -131,3 +134,35 @@
         assert max(gaps) < ANSWER_TIMEOUT_S
 
     run_virtual(main())
+
+
+def lose_controllers(total, lost):
+    """Return the seconds until a state is proven again after controllers were lost.
+
+    The lost ones are the polled controller and those that follow it in the list.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        names = [f"c{number:02}" for number in range(total)]
+        network = SimulatedControllers(dict.fromkeys(names, 0.0))
+        client = build_client(network, FleetView())
+        client.start()
+        await asyncio.sleep(3.0)
+        first = names.index(client.dump()["current"])
+        for offset in range(lost):
+            network.proven_from[names[(first + offset) % total]] = None
+        lost_at = loop.time()
+        while client.measure_state_age(loop.time()) > loop.time() - lost_at:
+            await asyncio.sleep(0.01)
+        await client.stop()
+        return loop.time() - lost_at
+
+    return run_virtual(main())
+
+
+# Guards against an entry that keeps an old configuration while it waits for one
+# unreachable controller after the other: those of a lost region, or replaced ones.
+def test_state_is_proven_in_time_after_loss_of_several_controllers():
+    for total, lost in ((6, 1), (6, 3), (9, 4), (9, 8), (18, 12)):
+        assert lose_controllers(total, lost) < MAX_APPLY_S, (total, lost)
