Refuse numbers that are not finite or do not fit 64 bits at the interfaces

Cause: a document with NaN or an infinite time-out, weight, rate or limit was accepted, since each comparison with NaN is false. Integers that do not fit 64 bits ended in an OverflowError before an answer was built, so the call got none. Change: one JSON decoder for both control interfaces refuses such numbers, the reader of mappings refuses numbers that are not finite, and an order that can't be encoded is a ValueError, which both interfaces answer with 400.

--- a/toucanwood/fleet/_orders.py
+++ b/toucanwood/fleet/_orders.py
@@ -101,10 +101,16 @@
 
 
 def pack_order(order: Order) -> bytes:
-    """Encode an order for the replicated log."""
+    """Encode an order for the replicated log.
+
+    Raises ValueError if a value, such as a large integer, can't be encoded.
+    """
     values = [getattr(order, field.name) for field in attrs.fields(type(order))]
     values = [item.to_wire() if isinstance(item, Target) else item for item in values]
-    return msgpack.packb([_KIND_BY_CLASS[type(order)], *values])
+    try:
+        return msgpack.packb([_KIND_BY_CLASS[type(order)], *values])
+    except OverflowError as error:
+        raise ValueError(f"{_KIND_BY_CLASS[type(order)]}: {error}") from error
 
 
 def unpack_order(data: bytes) -> Order:
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -27,7 +27,7 @@
     Response,
     build_error_response,
 )
-from toucanwood.utils import FieldError, MappingReader, ValidationError
+from toucanwood.utils import FieldError, MappingReader, ValidationError, decode_json
 from toucanwood.verdicts import Verdict, refuse
 
 log = structlog.get_logger()
@@ -248,8 +248,8 @@
 async def _read_json(request: CallerRequest) -> Any:
     data = await request.read_body(MAX_BODY_BYTES)
     try:
-        return json.loads(data)
-    except (ValueError, RecursionError) as error:
+        return decode_json(data)
+    except ValueError as error:
         raise ValidationError(
             [FieldError("body", f"{len(data)} bytes", f"JSON ({error})")]
         ) from None
--- a/toucanwood/routing/tests/test_table.py
+++ b/toucanwood/routing/tests/test_table.py
@@ -85,6 +85,20 @@
     assert not get_validation_error(build_document([build_route(objective_ms=60_999)]))
 
 
+def test_numbers_that_are_not_finite_are_rejected():
+    for value in (float("nan"), float("inf"), float("-inf")):
+        splits = [{"service": "s", "weight": value}, {"service": "t", "weight": 1}]
+        for changed in (
+            {"timeout_ms": value},
+            {"objective_ms": value},
+            {"splits": splits},
+        ):
+            document = build_document([build_route(**changed)])
+            assert "a finite number" in get_validation_error(document), changed
+        organisation = {"name": "a", "keys": ["k"], "rate": value}
+        assert get_validation_error(build_document(organisations=[organisation]))
+
+
 def test_empty_host_is_rejected():
     assert "a host name" in get_validation_error(build_document([build_route(host="")]))
 
--- a/toucanwood/utils/__init__.py
+++ b/toucanwood/utils/__init__.py
@@ -1,6 +1,7 @@
 """Validation, background tasks and other helpers shared by all packages."""
 
 from toucanwood.utils._event_loop import find_program_start, run_suspend_aware
+from toucanwood.utils._json import decode_json
 from toucanwood.utils._partial_import import skip_package_init
 from toucanwood.utils._process import Program, run_program
 from toucanwood.utils._tasks import (
@@ -27,6 +28,7 @@
     "VirtualTimeLoop",
     "cancel_and_wait",
     "check_range",
+    "decode_json",
     "find_program_start",
     "load_yaml",
     "run_periodically",
--- a/toucanwood/utils/_validation.py
+++ b/toucanwood/utils/_validation.py
@@ -1,5 +1,6 @@
 """Validation of settings and declarations; all errors are reported together."""
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -100,6 +101,9 @@
         value = self.read(name, int if integer else (int, float), default)
         if value is None or value is default:
             return value
+        if isinstance(value, float) and not math.isfinite(value):
+            self.add_error(name, value, "a finite number")
+            return None if default is _MISSING else default
         try:
             check_range(name, value, low=low, high=high)
         except ValueError:
