Remove a value that a new document leaves out at entries too

What callers saw: two entries with one revision and two behaviours. A document without 'limits' after one with them kept the old limits at entries that apply differences; entries that started later used the defaults. Cause: the difference of two documents named values that changed, not those that are gone. Change: it names them in a fourth item, which is only sent where it is needed.

--- a/toucanwood/fleet/tests/test_state.py
+++ b/toucanwood/fleet/tests/test_state.py
@@ -15,6 +15,7 @@
     TargetState,
     pack_order,
 )
+from toucanwood.routing import CallerLimits, RoutingTable
 
 ROUTE = {
     "name": "r-1",
@@ -167,6 +168,16 @@
     assert fleet.view.revision == 5
 
 
+# Guards against entries with one revision and two behaviours: those that applied the
+# change, and those that started later.
+def test_value_that_a_document_leaves_out_is_removed_at_entries():
+    fleet = FleetHarness()
+    fleet.apply(build_put(0, 1, {**DOCUMENT, "caller_limits": {"body_bytes": 10}}))
+    assert fleet.view.table.caller_limits.body_bytes == 10
+    fleet.apply(build_put(1, 2))
+    assert fleet.view.table.caller_limits == CallerLimits()
+
+
 def order_lists():
     targets = st.builds(
         build_report,
@@ -183,9 +194,38 @@
         st.sampled_from([None, 1, 4]),
     )
     evacuations = st.builds(SetEvacuation, st.sampled_from("ab"), st.booleans())
-    documents = st.sampled_from([DOCUMENT, {**DOCUMENT, "routes": []}])
-    puts = st.builds(build_put, st.integers(0, 3), st.integers(1, 4), documents)
-    return st.lists(st.one_of(targets, removals, evacuations, puts), max_size=30)
+    documents = st.sampled_from(
+        [
+            DOCUMENT,
+            {**DOCUMENT, "routes": [], "caller_limits": {"body_bytes": 10}},
+            {"routes": [ROUTE, {**ROUTE, "name": "r-2", "prefix": "/b/"}]}
+            | {"services": [{"name": "s", "cold_rate": 2.0}], "note": "x"},
+            {**DOCUMENT, "organisations": [{"name": "o", "keys": ["k"]}]},
+        ]
+    )
+    # Relative to the current revision; see `rebase`.
+    bases, revisions = st.sampled_from([0, 0, 0, -1]), st.integers(0, 3)
+    puts = st.builds(build_put, bases, revisions, documents)
+    upserts = st.sampled_from(
+        [
+            {},
+            {"routes": [{**ROUTE, "prefix": "/c/"}]},
+            {"organisations": [{"name": "p", "keys": ["l"]}]},
+            {"caller_limits": {"body_bytes": 20}},
+        ]
+    )
+    removed = st.sampled_from([{}, {"routes": ["r-1"]}, {"organisations": ["o"]}])
+    patches = st.builds(PatchRouting, bases, revisions, upserts, removed)
+    orders = st.one_of(targets, removals, evacuations, puts, patches)
+    return st.lists(orders, max_size=30)
+
+
+def rebase(order, current):
+    """Return an order on the routing document with absolute revisions."""
+    if not isinstance(order, PutRouting | PatchRouting):
+        return order
+    base, revision = current + order.base_revision, current + order.revision
+    return attrs.evolve(order, base_revision=base, revision=revision)
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -194,11 +234,16 @@
     fleet = FleetHarness()
     revision = 0
     for order in orders:
-        fleet.apply(order)
+        fleet.apply(rebase(order, fleet.state.revision))
         assert fleet.view.revision >= revision
         revision = fleet.view.revision
     assert fleet.view.targets == fleet.state.targets
     assert fleet.view.evacuated == fleet.state.evacuated
     assert fleet.view.revision == fleet.state.revision
+    if revision:
+        expected = RoutingTable.from_config(fleet.state.document)
+        for part in ("revision", "routes", "services", "organisations"):
+            assert getattr(fleet.view.table, part) == getattr(expected, part)
+        assert fleet.view.table.caller_limits == expected.caller_limits
     addresses = [target.address for target in fleet.state.targets.values()]
     assert len(set(addresses)) == len(addresses)
--- a/toucanwood/routing/_document.py
+++ b/toucanwood/routing/_document.py
@@ -18,16 +18,20 @@
 class DocumentChange:
     """The difference between two documents, by named item.
 
-    `values` holds the changed values outside the sections.
+    `values` holds the changed values outside the sections, `removed_values` the names
+    of those that the new document leaves out.
     """
 
     upsert: dict[str, list[Any]]
     remove: dict[str, list[str]]
     values: dict[str, Any]
+    removed_values: list[str]
 
     def to_wire(self) -> list[Any]:
         """Return the change as a msgpack list."""
-        return [self.upsert, self.remove, self.values]
+        content = [self.upsert, self.remove, self.values]
+        # Instances of earlier versions expect three items.
+        return [*content, self.removed_values] if self.removed_values else content
 
 
 def patch_document(
@@ -62,7 +66,8 @@
 
 def diff_documents(old: Mapping[str, Any], new: Mapping[str, Any]) -> DocumentChange:
     """Return the change that turns the old document into the new one."""
-    change = DocumentChange(upsert={}, remove={}, values={})
+    removed_values = [name for name in old if name not in new and name not in SECTIONS]
+    change = DocumentChange({}, {}, {}, removed_values)
     for section in SECTIONS:
         old_items = _index_by_name(old.get(section))
         new_items = _index_by_name(new.get(section))
@@ -82,10 +87,11 @@
 
 def apply_change(document: Mapping[str, Any], change: list[Any]) -> Document:
     """Apply a change of `diff_documents` in its wire form; item order may differ."""
-    upsert, remove, values = change
+    upsert, remove, values, *rest = change
+    removed_values = rest[0] if rest else []
     patched = patch_document(document, upsert=upsert, remove=remove)
     patched.update(values)
-    return patched
+    return {k: item for k, item in patched.items() if k not in removed_values}
 
 
 def _index_by_name(items: Any) -> dict[str, Any]:
