Apply an update of the fleet state as a whole or not at all

Cause: FleetView.apply_changes set the revision and the document, then built the table. After an error in between, the entry had a new revision with the old table, the same changes came again at the next poll, and the state still counted as current. An error after that, in the parts of the entry that use the view, lost the update for good. Change: the view applies updates to a copy and takes it over at the end. After an error the state does not count as proven, and the entry asks for the full state. A full state replaces a document that differs under the same revision, and one with a lower revision is an error. Parts that failed get the update with the next answer.

--- a/toucanwood/fleet/_view.py
+++ b/toucanwood/fleet/_view.py
@@ -21,27 +21,41 @@
     table: RoutingTable | None = None
 
     def apply_changes(self, version: int, changes: list[Any]) -> list[Change]:
-        """Apply the encoded changes up to a version and return the decoded ones."""
+        """Apply the encoded changes up to a version and return the decoded ones.
+
+        The view is unchanged if any of them can't be applied; the error is raised.
+        """
         decoded = [Change.from_wire(item) for item in changes]
+        copy = attrs.evolve(
+            self, evacuated=set(self.evacuated), targets=dict(self.targets)
+        )
         for change in decoded:
-            self._apply(change)
-        self.version = max(self.version, version)
+            copy._apply(change)
         if any(change.kind is ChangeKind.ROUTING for change in decoded):
-            self._build_table()
+            copy._build_table()
+        copy.version = max(self.version, version)
+        self._take_over(copy)
         return decoded
 
     def replace(self, version: int, state: list[Any]) -> bool:
-        """Replace the view with a full state; return False if the state is older."""
+        """Replace the view with a full state; return False if the state is older.
+
+        The view is unchanged if the state can't be read; the error is raised.
+        """
         revision, document, evacuated, targets = state
         if version < self.version or revision < self.revision:
             return False
-        self.version = version
-        self.evacuated = set(evacuated)
-        self.targets = {item[0]: Target.from_wire(item) for item in targets}
-        if revision != self.revision:
-            self.revision = revision
-            self.document = document
-            self._build_table()
+        copy = FleetView(
+            version=version,
+            revision=revision,
+            document=document,
+            evacuated=set(evacuated),
+            targets={item[0]: Target.from_wire(item) for item in targets},
+            table=self.table,
+        )
+        if revision != self.revision or document != self.document:
+            copy._build_table()
+        self._take_over(copy)
         return True
 
     def dump(self) -> dict[str, Any]:
@@ -73,6 +87,11 @@
             if known is not None and known.start_time_ms == start_time_ms:
                 del self.targets[target_id]
 
+    def _take_over(self, other: "FleetView") -> None:
+        """Take over all values of another view."""
+        for field in attrs.fields(FleetView):
+            setattr(self, field.name, getattr(other, field.name))
+
     def _build_table(self) -> None:
         self.table = RoutingTable.from_config(
             {**self.document, "revision": self.revision}
--- a/toucanwood/fleet/tests/test_state.py
+++ b/toucanwood/fleet/tests/test_state.py
@@ -1,8 +1,12 @@
+import contextlib
+
 import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from toucanwood.fleet import (
+    Change,
+    ChangeKind,
     FleetState,
     FleetView,
     OrderStatus,
@@ -16,6 +20,7 @@
     pack_order,
 )
 from toucanwood.routing import CallerLimits, RoutingTable
+from toucanwood.utils import ValidationError
 
 ROUTE = {
     "name": "r-1",
@@ -178,6 +183,39 @@
     assert fleet.view.table.caller_limits == CallerLimits()
 
 
+# Guards against a new revision with the old routing table, which is never repaired.
+def test_update_that_cannot_be_applied_leaves_the_view_unchanged():
+    fleet = FleetHarness()
+    fleet.apply(build_put(0, 1))
+    before = attrs.evolve(fleet.view, targets=dict(fleet.view.targets))
+    target = Change(ChangeKind.TARGET, TARGET.to_wire()).to_wire()
+    unreadable = [
+        Change(ChangeKind.ROUTING, [2, {}, {"services": ["s"]}, {}]).to_wire(),
+        Change(ChangeKind.ROUTING, [2, {"routes": 3}, {}, {}]).to_wire(),
+        Change(ChangeKind.TARGET, ["t-2"]).to_wire(),
+        [99, []],
+    ]
+    for change in unreadable:
+        with contextlib.suppress(ValueError, TypeError, KeyError, AttributeError):
+            fleet.view.apply_changes(7, [target, change])
+            raise AssertionError(f"{change} was applied")
+        assert fleet.view == before, change
+    state = [2, {**DOCUMENT, "services": []}, ["a"], []]
+    with contextlib.suppress(ValidationError):
+        fleet.view.replace(8, state)
+        raise AssertionError("the state was applied")
+    assert fleet.view == before
+
+
+# Guards against an entry whose document differs from that of its revision.
+def test_full_state_replaces_a_differing_document_of_the_same_revision():
+    fleet = FleetHarness()
+    fleet.apply(build_put(0, 1))
+    state = [1, {**DOCUMENT, "routes": []}, [], []]
+    assert fleet.view.replace(fleet.view.version, state)
+    assert fleet.view.table.routes == {}
+
+
 def order_lists():
     targets = st.builds(
         build_report,
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -19,7 +19,7 @@
 from toucanwood.fleet import FleetView
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaEnforcer
-from toucanwood.utils import TaskGroup, ValidationError, run_periodically, run_step
+from toucanwood.utils import TaskGroup, run_periodically, run_step
 
 log = structlog.get_logger()
 
@@ -48,6 +48,8 @@
 # Timeout of a probe, and time for which one search lasts before the first state.
 PROBE_TIMEOUT_S = 2.0
 PROBE_ROUND_S = 0.5
+# Version in a poll that requests the full state.
+NO_VERSION = -1
 # Version in a probe. It is newer than that of any state, so no answer carries a state.
 PROBE_VERSION = 2**62
 # Time from its start after which an entry without any fleet state also accepts a state
@@ -87,6 +89,10 @@
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
         self._is_reported_stale = False
+        # Set after changes that could not be applied.
+        self._needs_full_state = False
+        # Set until `on_update` has returned without an error.
+        self._has_new_content = False
         # Versions of the controllers that answered a probe, by index.
         self._probed_versions: dict[int, int] = {}
         self.entries: frozenset[str] = frozenset()
@@ -257,7 +263,8 @@
         """Poll the selected controller; return whether its state is proven current."""
         loop = asyncio.get_running_loop()
         controller = self._controllers[self._current_index]
-        request = PollFleet(self._view.version, self._entries_mark, self._demand_mark)
+        version = NO_VERSION if self._needs_full_state else self._view.version
+        request = PollFleet(version, self._entries_mark, self._demand_mark)
         sent_at = loop.time()
         try:
             update = await self._network.call(
@@ -282,35 +289,24 @@
         if update.version < self._view.version:
             self._log_unused_update(controller, update, "older than the view")
             return False
-        self._apply_update(update)
+        if not self._apply_update(update):
+            return False
         if is_proven:
             self._state_proven_at = sent_at - update.age_s
         return is_proven
 
-    def _apply_update(self, update: FleetUpdate) -> None:
-        changed = False
+    def _apply_update(self, update: FleetUpdate) -> bool:
+        """Apply the answer of a controller; return False if its content is unusable."""
         revision = self._view.revision
         try:
-            if update.state is not None:
-                state = decode_payload(update.state)
-                changed = self._view.replace(update.version, state)
-            elif update.changes is not None:
-                changes = decode_payload(update.changes)
-                changed = bool(self._view.apply_changes(update.version, changes))
-            else:
-                self._view.version = max(self._view.version, update.version)
-        except ValidationError as error:
-            log.error("routing_unreadable", version=update.version, error=str(error))
-        if update.entries is not None:
-            self.entries = frozenset(update.entries)
-            self._entries_mark = update.entries_mark
-            self._quota.entry_count = max(len(self.entries), 1)
-            changed = True
-        if update.demand is not None:
-            log.info("demand_changed", shares=update.demand, before=self.demand)
-            self.demand = update.demand
-            self._demand_mark = update.demand_mark
-            changed = True
+            self._has_new_content |= self._apply_state(update)
+        except Exception as error:
+            # The content comes from another process, perhaps of another version, so any
+            # error can occur. The view is unchanged and the full state may be readable.
+            log.error("update_unreadable", version=update.version, error=repr(error))
+            self._needs_full_state = True
+            return False
+        self._needs_full_state = False
         if self._view.revision != revision:
             log.info(
                 "routing_applied",
@@ -320,8 +316,42 @@
                 controller=self._controllers[self._current_index],
                 age_s=round(update.age_s, 2),
             )
-        if changed:
+        self._apply_entries_and_demand(update)
+        return not self._has_new_content or self._pass_on_update()
+
+    def _apply_state(self, update: FleetUpdate) -> bool:
+        """Apply changes or a full state to the view; return whether it changed."""
+        if update.state is not None:
+            if not self._view.replace(update.version, decode_payload(update.state)):
+                raise ValueError("the full state has a lower revision than the view")
+            return True
+        if update.changes is not None:
+            changes = decode_payload(update.changes)
+            return bool(self._view.apply_changes(update.version, changes))
+        self._view.version = max(self._view.version, update.version)
+        return False
+
+    def _apply_entries_and_demand(self, update: FleetUpdate) -> None:
+        if update.entries is not None:
+            self.entries = frozenset(update.entries)
+            self._entries_mark = update.entries_mark
+            self._quota.entry_count = max(len(self.entries), 1)
+            self._has_new_content = True
+        if update.demand is not None:
+            log.info("demand_changed", shares=update.demand, before=self.demand)
+            self.demand = update.demand
+            self._demand_mark = update.demand_mark
+            self._has_new_content = True
+
+    def _pass_on_update(self) -> bool:
+        """Call `on_update`; after an error, it is called again with the next answer."""
+        try:
             self._on_update()
+        except Exception as error:
+            log.error("update_not_used", error=repr(error))
+            return False
+        self._has_new_content = False
+        return True
 
     async def _report_usage(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -7,7 +7,7 @@
 
 from toucanwood.controller import FleetUpdate, ReportUsage, UsageAnswer
 from toucanwood.controller._messages import encode_payload
-from toucanwood.fleet import FleetView
+from toucanwood.fleet import Change, ChangeKind, FleetView
 from toucanwood.gateway._feed_client import PROBE_INTERVAL_S, FeedClient
 from toucanwood.gateway.tests.harness import build_routing_document
 from toucanwood.peering import PeerUnavailable
@@ -32,6 +32,9 @@
 
     proven_from: dict
     versions: dict = attrs.field(factory=dict)
+    # Sent to an entry that has a state, if set.
+    changes: bytes | None = None
+    state: bytes = STATE
     sent_states: int = 0
     reports: list = attrs.field(factory=list)
 
@@ -51,13 +54,15 @@
             self.reports.append(asyncio.get_running_loop().time())
             return UsageAnswer(is_valid=True)
         version = self.versions.get(controller, 1)
-        has_state = request.version < version
+        has_changes = 0 < request.version < version and self.changes is not None
+        has_state = request.version < version and not has_changes
         self.sent_states += has_state
         is_proven = asyncio.get_running_loop().time() >= proven_from
         return FleetUpdate(
             version=version,
             age_s=0.1 if is_proven else -1.0,
-            state=STATE if has_state else None,
+            state=self.state if has_state else None,
+            changes=self.changes if has_changes else None,
             controllers=sorted(self.proven_from),
             leader=next(iter(self.proven_from)),
         )
@@ -166,3 +171,54 @@
 def test_state_is_proven_in_time_after_loss_of_several_controllers():
     for total, lost in ((6, 1), (6, 3), (9, 4), (9, 8), (18, 12)):
         assert lose_controllers(total, lost) < MAX_APPLY_S, (total, lost)
+
+
+async def wait_until(condition, timeout_s):
+    """Return the seconds until a condition is true, or `timeout_s` if it never is."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not condition() and loop.time() - started < timeout_s:
+        await asyncio.sleep(0.01)
+    return loop.time() - started
+
+
+# Guards against an entry that counts an update that it could not apply as its state.
+def test_update_that_cannot_be_applied_is_followed_by_the_full_state():
+    async def main():
+        network = SimulatedControllers({"a": 0.0})
+        view = FleetView()
+        client = build_client(network, view)
+        client.start()
+        await wait_until(lambda: view.table is not None, MAX_APPLY_S)
+        unreadable = Change(ChangeKind.ROUTING, [2, {"routes": 3}, {}, {}]).to_wire()
+        network.changes = encode_payload([unreadable])
+        network.state = encode_payload([2, build_routing_document(), [], []])
+        network.versions["a"] = 2
+        seconds = await wait_until(lambda: view.revision == 2, 10.0)
+        await client.stop()
+        return seconds, view
+
+    seconds, view = run_virtual(main())
+    assert seconds < MAX_APPLY_S
+    assert (view.version, view.table.revision) == (2, 2)
+
+
+# Guards against targets and limits that the parts of an entry never learn of.
+def test_update_is_passed_on_again_after_an_error():
+    async def main():
+        calls = []
+
+        def pass_on():
+            calls.append(asyncio.get_running_loop().time())
+            if len(calls) == 1:
+                raise ValueError("the update can't be used")
+
+        network = SimulatedControllers({"a": 0.0})
+        client = build_client(network, FleetView(), on_update=pass_on)
+        client.start()
+        await wait_until(lambda: len(calls) >= 2, 10.0)
+        await client.stop()
+        return calls
+
+    first, second, *_ = run_virtual(main())
+    assert second - first < MAX_APPLY_S
