Refuse an objective a minute above a stated timeout of 0

Cause: the check of the objective was skipped for a timeout of 0, which stands for no time-out. Change: a stated timeout of 0 bounds the objective too; a document without a timeout is accepted as before. Evidence: the new test failed before.

--- a/toucanwood/routing/_table.py
+++ b/toucanwood/routing/_table.py
@@ -103,9 +103,11 @@
     host = reader.read("host", str) or ""
     if not host:
         reader.add_error("host", host, "a host name")
-    timeout_ms = reader.read_number("timeout_ms", 0, low=0) or 0
+    stated_timeout_ms = reader.read_number("timeout_ms", None, low=0)
+    timeout_ms = stated_timeout_ms or 0
     objective_ms = reader.read_number("objective_ms", 0, low=0) or 0
-    if timeout_ms and objective_ms >= timeout_ms + MAX_OBJECTIVE_EXCESS_S * MS_PER_S:
+    latest_ms = timeout_ms + MAX_OBJECTIVE_EXCESS_S * MS_PER_S
+    if stated_timeout_ms is not None and objective_ms >= latest_ms:
         allowed = f"less than {MAX_OBJECTIVE_EXCESS_S:g} s above timeout_ms"
         reader.add_error("objective_ms", objective_ms, allowed)
     kinds = tuple(kind.value for kind in RouteKind)
--- a/toucanwood/routing/tests/test_table.py
+++ b/toucanwood/routing/tests/test_table.py
@@ -85,6 +85,14 @@
     assert not get_validation_error(build_document([build_route(objective_ms=60_999)]))
 
 
+# Guards against an invalid document in force: a timeout of 0 also bounds the objective.
+def test_objective_a_minute_above_a_timeout_of_zero_is_rejected():
+    route = build_route(timeout_ms=0, objective_ms=60_000)
+    assert get_validation_error(build_document([route]))
+    route = build_route(timeout_ms=0, objective_ms=59_999)
+    assert not get_validation_error(build_document([route]))
+
+
 def test_numbers_that_are_not_finite_are_rejected():
     for value in (float("nan"), float("inf"), float("-inf")):
         splits = [{"service": "s", "weight": value}, {"service": "t", "weight": 1}]
