Do not count the end of a body as the head of a further request

What callers saw: the connection was closed after a request whose body arrived in several parts, if the last part was larger than the limit on headers; after smaller ones a 408 that belongs to no request was sent when the header timeout ended. Cause: all bytes of a segment that completed a body were counted as header bytes. Change: only segments that arrive between requests are counted. The new test failed before with IncompleteReadError on the second request.

--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -201,6 +201,8 @@
         """Parse bytes and start the handler of each request whose head is complete."""
         if self._is_closing:
             return
+        # Bytes that end a body are not the start of a header.
+        is_between_requests = self._last_body is None or self._last_body.is_eof()
         try:
             assert self._parser is not None
             messages, upgraded, _tail = self._parser.feed_data(data)
@@ -213,7 +215,7 @@
             self._is_closing = True
         if messages:
             self._stop_header_timer()
-        elif data and (self._last_body is None or self._last_body.is_eof()):
+        elif data and is_between_requests:
             self._count_header_bytes(len(data))
 
     def eof_received(self) -> bool:
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -271,3 +271,29 @@
             assert received == body
 
     asyncio.run(main())
+
+
+# Guards against the end of a body that is counted as the head of a further request: the
+# connection was closed, or a response that belongs to no request was sent on it.
+def test_connection_stays_open_after_a_body_that_arrives_in_parts():
+    async def handle(responder):
+        body = await responder.request.read_body(1_000_000)
+        await responder.send(Response(200, body=str(len(body)).encode()))
+
+    async def main(size, **limits):
+        async with run_server(handle, **limits) as server:
+            reader, writer = await connect(server)
+            for _ in range(2):
+                length = f"Content-Length: {size + 1}\r\n"
+                writer.write(build_request("/", length, method="POST") + b"x")
+                await asyncio.sleep(0.02)
+                writer.write(size * b"x")
+                async with asyncio.timeout(5.0):
+                    status, body, _ = await read_response(reader)
+                assert (status, body) == (200, str(size + 1).encode())
+                await asyncio.sleep(2 * limits.get("header_timeout_s", 0.0))
+            assert not reader.at_eof()
+            writer.close()
+
+    asyncio.run(main(60_000, header_bytes=1024))
+    asyncio.run(main(10, header_timeout_s=0.1))
