Refuse announcements that name no usable target before they are shared

What operators of similar systems saw: one odd entry among those of the targets ended the processes that read the list, or they stopped following it. Cause here: announcements with ports 99999 or 0, host names, line breaks, 2**40 slots or a cold start that is not finite were acknowledged and stored. Integers beyond 64 bits ended the call without an answer, after they had been noted for the gossip among controllers, whose next round then failed too. Change: check_target bounds each field before anything is recorded; the adapter and the product's own interface answer 400. Rejected values are shortened in messages, since a deeply nested one has no representation.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -35,6 +35,7 @@
     RemoveTarget,
     ReportTarget,
     Target,
+    check_target,
     pack_order,
 )
 from toucanwood.metrics import MetricsRegistry, MetricsServer
@@ -195,7 +196,11 @@
         return await self._group_manager.remove(controller)
 
     async def announce_target(self, target: Target) -> Result[None, Verdict]:
-        """Process the announcement of a target; success acknowledges it."""
+        """Process the announcement of a target; success acknowledges it.
+
+        Raises ValueError for a target that can't be stored or connected to.
+        """
+        check_target(target)
         now = self._now()
         has_new_cold_start = self._liveness.record_announcement(target, now)
         known = self.state.targets.get(target.id)
--- a/toucanwood/fleet/__init__.py
+++ b/toucanwood/fleet/__init__.py
@@ -14,6 +14,7 @@
 )
 from toucanwood.fleet._state import FleetState
 from toucanwood.fleet._target import Target, TargetState
+from toucanwood.fleet._validation import check_target
 from toucanwood.fleet._view import FleetView
 
 __all__ = [
@@ -31,5 +32,6 @@
     "SetEvacuation",
     "Target",
     "TargetState",
+    "check_target",
     "pack_order",
 ]
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -87,7 +87,7 @@
             )
         except _ApiError as error:
             response = build_error_response(error.verdict)
-        except ValidationError as error:
+        except ValueError as error:
             response = _refuse_call("body_invalid", str(error), 400)
         except BodyTooLarge as error:
             response = _refuse_call("body_too_large", str(error), 413)
--- a/toucanwood/utils/_validation.py
+++ b/toucanwood/utils/_validation.py
@@ -1,12 +1,16 @@
 """Validation of settings and declarations; all errors are reported together."""
 
 import math
+import reprlib
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
 _MISSING = object()
+# Bounds the length and the depth of rejected values in error messages.
+_REPRESENTATION = reprlib.Repr()
+_REPRESENTATION.maxstring = _REPRESENTATION.maxother = 200
 
 
 @attrs.frozen
@@ -20,7 +24,8 @@
 
     def __str__(self) -> str:
         place = f"line {self.line}: " if self.line else ""
-        return f"{place}{self.path}: got {self.got!r}, allowed: {self.allowed}"
+        got = _REPRESENTATION.repr(self.got)
+        return f"{place}{self.path}: got {got}, allowed: {self.allowed}"
 
 
 class ValidationError(ValueError):
