Refuse requests that could outlast a planned stop instead of cutting them

What operators of similar systems saw: in a planned stop of an entry, requests that came late in the grace time were passed on and cut at its end without an answer, among them ones that may not be repeated. Here: an entry accepted every request in the first half of the grace time and cut what was unfinished at 0.92 of it. A request accepted at 0.45 whose target takes 0.7 of the grace time was reset. Change: from 0.3 of the grace time on, a request is accepted only if its deadline is before the end; others are refused at once as not run, with Retry-After 0.

--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -82,6 +82,7 @@
         header_names: HeaderNames,
         quota: QuotaEnforcer,
         is_refusing_requests: Callable[[], bool],
+        get_latest_deadline: Callable[[], float],
         is_state_current: Callable[[], bool],
     ) -> None:
         self._is_state_current = is_state_current
@@ -89,6 +90,7 @@
         self._header_names = header_names
         self._quota = quota
         self._is_refusing_requests = is_refusing_requests
+        self._get_latest_deadline = get_latest_deadline
         self._traffic_splitter = TrafficSplitter()
         self._generated_ids = itertools.count(1)
         self._started_at = asyncio.get_running_loop().time()
@@ -106,6 +108,9 @@
         route = self._find_route(table, request)
         organisation = self._authenticate(table, route, request)
         context = self._build_context(request, route, organisation)
+        if context.deadline_at > self._get_latest_deadline():
+            # The request could be cut off at the end of the stop, after it has run.
+            raise _refuse("stopping", "this entry is stopping", 503, 0.0)
         context.body = await self._read_body(table, request)
         if organisation is not None and not self._quota.admit(organisation, now):
             message = f"organisation {organisation.name} exceeds its request rate"
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -1,6 +1,7 @@
 """The components of one entry process and their life cycle."""
 
 import asyncio
+import math
 from typing import Any
 
 import structlog
@@ -43,8 +44,10 @@
 # the responses that follow on the caller's connection.
 MIN_BUFFER_BYTES = 16 * 1024
 MAX_BUFFER_BYTES = 1024 * 1024
-# Fractions of the grace time of a stop: new requests are accepted until the first, the
-# port stays open until the second, and running requests may finish until the third.
+# Fractions of the grace time of a stop. Until the first, all requests are accepted, and
+# until the second, those whose deadline is before the third, at which running requests
+# are cut off. The port stays open until STOP_LISTEN_FRACTION.
+STOP_ACCEPT_ALL_FRACTION = 0.3
 STOP_ACCEPT_FRACTION = 0.5
 STOP_LISTEN_FRACTION = 0.6
 STOP_FINISH_FRACTION = 0.92
@@ -69,6 +72,8 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._is_leaving = False
         self._is_refusing_requests = False
+        # Latest deadline of a request that may still be accepted.
+        self._latest_deadline = math.inf
         self._is_announced = False
         self.network = PeerNetwork(
             instance_id=settings.id, address=settings.peer, secret=DEFAULT_SECRET
@@ -97,6 +102,9 @@
         self._is_leaving = True
         self.feed.announce()
         self.server.stop_keep_alive()
+        accept_all_until = started + grace * STOP_ACCEPT_ALL_FRACTION
+        await self._wait_until(accept_all_until, when_idle=False)
+        self._latest_deadline = started + grace * STOP_FINISH_FRACTION
         await self._wait_until(started + grace * STOP_ACCEPT_FRACTION, when_idle=False)
         self._is_refusing_requests = True
         await self._wait_until(started + grace * STOP_LISTEN_FRACTION, when_idle=False)
@@ -191,6 +199,7 @@
             header_names=self.header_names,
             quota=self.quota,
             is_refusing_requests=lambda: self._is_refusing_requests,
+            get_latest_deadline=lambda: self._latest_deadline,
             is_state_current=self._is_state_current,
         )
         self.handler = RequestHandler(
--- a/toucanwood/gateway/tests/test_start_and_stop.py
+++ b/toucanwood/gateway/tests/test_start_and_stop.py
@@ -152,6 +152,26 @@
     run_scenario(scenario, *targets)
 
 
+# Guards against requests that are passed on late in a planned stop and cut at its end,
+# among them requests that must not run twice.
+def test_request_that_could_outlast_a_stop_is_refused_as_not_run():
+    async def scenario(harness):
+        (target,) = harness.targets
+        target.script = [respond(), respond_slowly(1.4)]
+        stop = asyncio.ensure_future(harness.entry.stop())
+        await asyncio.sleep(0.9)
+        short = await harness.send("/unsafe/x", **{NAMES.remaining_ms: "500"})
+        assert short[0] == 200
+        started = asyncio.get_running_loop().time()
+        status, headers, _ = await harness.send("/unsafe/x")
+        assert (status, float(headers["Retry-After"])) == (503, 0.0)
+        assert asyncio.get_running_loop().time() - started < 0.2
+        assert len(target.received) == 1
+        await stop
+
+    run_scenario(scenario, ScriptedTarget("t-1"), stop_grace_s=2.0)
+
+
 # Guards against requests that are lost in the second after a start of all instances:
 # in an incident 2341 requests were refused twice within it.
 def test_request_before_first_state_is_held_and_then_served():
