--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -236,6 +236,23 @@
     return step
 
 
+def respond_cut_after(size, *, is_reset):
+    """Send the first bytes of a response, then close or reset the connection."""
+
+    async def step(writer, request):
+        request_id = request.get(NAMES.request_id, "")
+        response = encode_response(200, [], b"whole", request_id=request_id)
+        writer.write(response[:size])
+        await writer.drain()
+        if is_reset:
+            # The bytes would be discarded if the reset followed at once.
+            await asyncio.sleep(0.005)
+            _reset(writer)
+        return False
+
+    return step
+
+
 def respond_slowly(seconds):
     """Send the response after some time."""
 
--- a/toucanwood/gateway/tests/test_faulty_answers.py
+++ b/toucanwood/gateway/tests/test_faulty_answers.py
@@ -7,15 +7,18 @@
 from toucanwood.gateway.tests.harness import (
     NAMES,
     ScriptedTarget,
+    encode_response,
     reset_connection,
     respond,
     respond_after_refusal_of,
+    respond_cut_after,
     respond_endlessly,
     respond_to_another_first,
     respond_with_extra_bytes,
     respond_without_length,
     run_scenario,
 )
+from toucanwood.placement import Health
 from toucanwood.upstream import MIN_IDLE_S
 
 
@@ -87,6 +90,24 @@
     run_scenario(scenario, ScriptedTarget("t-1", truncated), ScriptedTarget("t-2"))
 
 
+# Guards against a response that a target broke off in its head, or later, and that the
+# caller takes for a whole success.
+def test_response_cut_at_any_byte_is_not_forwarded_as_success():
+    async def scenario(harness):
+        (target,) = harness.targets
+        (record,) = harness.entry.dispatcher.list_records()
+        whole = len(encode_response(200, [], b"whole", request_id="id-100"))
+        for is_reset in (False, True):
+            for size in range(whole - 1):
+                target.script = [respond_cut_after(size, is_reset=is_reset)]
+                record.health = Health()
+                status, _, body = await harness.send("/unsafe/x", method="POST")
+                is_failure = status == 502 or body is None
+                assert is_failure, (size, is_reset, status, body)
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
+
+
 def test_body_without_length_ended_by_close_is_complete():
     async def scenario(harness):
         assert (await harness.send("/unsafe/x", method="POST"))[2] == b"all of it"
