Log the rate limits that targets name

Entries now read it from valid responses of the target itself, in the incarnation that the request was sent to, and log when a limit begins, changes or ends; the gauge targets_limited counts such targets. Placement is not changed. Values that can't be read change nothing and are logged; 0 is read as 0.1 requests per second, so that a response can still end the limit.

--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -16,6 +16,7 @@
     PlacementRequest,
     Refused,
     RegionShiftLimiter,
+    ResponseSignals,
     ServicePool,
     TargetRecord,
     TargetSelector,
@@ -37,6 +38,8 @@
     placed: Placed
     request: PlacementRequest
     started_at: float
+    # Start time of the incarnation of the target when the request was assigned.
+    start_time_ms: int
 
     @property
     def record(self) -> TargetRecord:
@@ -84,7 +87,9 @@
         if isinstance(decision, Refused):
             return decision
         number = pool.start(decision, request, now)
-        return Lease(attrs.evolve(decision, number=number), request, now)
+        start_time_ms = decision.record.target.start_time_ms
+        placed = attrs.evolve(decision, number=number)
+        return Lease(placed, request, now, start_time_ms)
 
     def release(
         self, lease: Lease, outcome: Outcome, report: LoadReport | None = None
@@ -103,6 +108,32 @@
         if is_ejected:
             self._eject(lease, outcome)
 
+    def record_signals(self, lease: Lease, signals: ResponseSignals) -> None:
+        """Record what a response says of its target, unless it has restarted since."""
+        record = lease.record
+        if record.target.start_time_ms != lease.start_time_ms:
+            return
+        before = record.signals.rate_limit
+        now = asyncio.get_running_loop().time()
+        if not signals.is_limit_valid:
+            log.warning("target_signal_invalid", target=record.id)
+        elif record.signals.record(signals, now):
+            self._log_limit(record, before, "response", 0.0)
+
+    def _log_limit(
+        self, record: TargetRecord, before: float | None, source: str, age_s: float
+    ) -> None:
+        log.info(
+            "target_limit_changed",
+            target=record.id,
+            service=record.target.service,
+            start_time_ms=record.target.start_time_ms,
+            limit=record.signals.rate_limit,
+            before=before,
+            source=source,
+            age_s=round(age_s, 2),
+        )
+
     def record_broken(self, lease: Lease) -> None:
         """Record a response that broke off after its lease was released."""
         now = asyncio.get_running_loop().time()
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -288,10 +288,10 @@
         except asyncio.CancelledError:
             context.may_have_run = True
             raise
-        return self._classify_response(context, exchange)
+        return self._classify_response(context, lease, exchange)
 
     def _classify_response(
-        self, context: RequestContext, exchange: Exchange
+        self, context: RequestContext, lease: Lease, exchange: Exchange
     ) -> tuple[Outcome, _Retry | None]:
         """Return the outcome, and a `_Retry` if the response may not be passed on."""
         status = exchange.response_head.code
@@ -301,7 +301,11 @@
                 "target_replaced", "another target has the address now", status=503
             )
             return Outcome.REPLACED, _Retry(verdict)
-        if self._header_names.not_run in headers:
+        is_not_run = self._header_names.not_run in headers
+        if is_not_run or self._header_names.is_signed(headers):
+            signals = self._header_names.read_signals(headers)
+            self._dispatcher.record_signals(lease, signals)
+        if is_not_run:
             message = f"the target did not run the request (status {status})"
             return Outcome.SHED, _Retry(refuse("target_full", message, status=503))
         context.may_have_run = True
--- a/toucanwood/gateway/_headers.py
+++ b/toucanwood/gateway/_headers.py
@@ -6,7 +6,12 @@
 import attrs
 from multidict import CIMultiDictProxy
 
-from toucanwood.placement import LoadReport
+from toucanwood.placement import (
+    MAX_RATE_LIMIT,
+    MIN_RATE_LIMIT,
+    LoadReport,
+    ResponseSignals,
+)
 
 MS_PER_S = 1000.0
 # Lower-case names of the headers that are not forwarded: hop-by-hop headers, body
@@ -27,6 +32,7 @@
     }
 )
 _DIGITS_PATTERN = re.compile(r"[0-9]{1,12}")
+_DECIMAL_PATTERN = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _LOAD_PATTERN = re.compile(r"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
 
 
@@ -42,6 +48,8 @@
     # A response with this header states that the target did not run the request.
     not_run: str = "Toucanwood-Not-Run"
     load: str = "Toucanwood-Load"
+    # The requests per second that a target takes from all entries together.
+    rate_limit: str = "Toucanwood-Rate-Limit"
     # A response with this header comes from the target itself.
     signature: str = ""
     answering_target: str = "Toucanwood-Answering-Target"
@@ -81,6 +89,16 @@
         running, waiting, slots = (int(item) for item in match.groups())
         return LoadReport(running, waiting, slots)
 
+    def read_signals(self, headers: CIMultiDictProxy[str]) -> ResponseSignals:
+        """Return what a response says of its target; limits are bounded."""
+        limits = headers.getall(self.rate_limit, ())
+        if not limits:
+            return ResponseSignals()
+        value = limits[0].strip()
+        if len(limits) > 1 or not _DECIMAL_PATTERN.fullmatch(value):
+            return ResponseSignals(is_limit_valid=False)
+        return ResponseSignals(min(max(float(value), MIN_RATE_LIMIT), MAX_RATE_LIMIT))
+
     def read_remaining_cold_start(self, headers: CIMultiDictProxy[str]) -> float:
         """Return for how many more seconds a target is cold."""
         value = headers.get(self.cold_remaining_ms, "").strip()
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -244,6 +244,9 @@
             "targets_known": len(records),
             "targets_ejected": sum(item.health.is_ejected for item in records),
             "target_protocol_violations": self.client.violations,
+            "targets_limited": sum(
+                item.signals.rate_limit is not None for item in records
+            ),
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
             "connections_open": len(self.server.connections),
--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -137,10 +137,11 @@
     return respond(421, b"", signed=False)
 
 
-def respond_to_another_first(body=b"whole"):
+def respond_to_another_first(body=b"whole", headers=()):
     async def step(writer, request):
         own_id = request[NAMES.request_id]
-        writer.write(encode_response(200, [], b"foreign", request_id="another"))
+        foreign = encode_response(200, headers, b"foreign", request_id="another")
+        writer.write(foreign)
         writer.write(encode_response(200, [], body, request_id=own_id))
         await writer.drain()
         return True
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -11,9 +11,11 @@
     respond_misdirected,
     respond_not_run,
     respond_slowly,
+    respond_to_another_first,
     run_scenario,
     stay_silent,
 )
+from toucanwood.placement import MIN_RATE_LIMIT, Health
 
 
 def test_response_is_forwarded_with_status_body_and_signature():
@@ -258,3 +260,34 @@
         assert len(harness.entry.dispatcher.list_records()) == 2
 
     run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
+
+
+# Guards against signals of another target or request, and against odd values.
+def test_rate_limit_is_read_from_valid_responses_of_the_target_only():
+    async def scenario(harness):
+        (record,) = harness.entry.dispatcher.list_records()
+
+        async def get_limit_after(step):
+            harness.targets[0].script = [step]
+            await harness.send("/unsafe/x")
+            record.health = Health()
+            return record.signals.rate_limit
+
+        def name_limit(*values):
+            return [f"{NAMES.rate_limit}: {value}" for value in values]
+
+        assert await get_limit_after(respond(headers=name_limit("3.5"))) == 3.5
+        for value in ("-1", "nan", "inf", "", "1e3", "4,4"):
+            step = respond(headers=name_limit(value))
+            assert await get_limit_after(step) == 3.5, value
+        assert await get_limit_after(respond(headers=name_limit("2", "9"))) == 3.5
+        unsigned = respond(headers=name_limit("9"), signed=False)
+        assert await get_limit_after(unsigned) == 3.5
+        misdirected = respond(421, b"", name_limit("9"), signed=False)
+        assert await get_limit_after(misdirected) == 3.5
+        foreign = respond_to_another_first(headers=name_limit("9"))
+        assert await get_limit_after(foreign) is None
+        assert await get_limit_after(respond(headers=name_limit("0"))) == MIN_RATE_LIMIT
+        assert await get_limit_after(respond()) is None
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -16,6 +16,13 @@
 from toucanwood.placement._response_times import ResponseTimes
 from toucanwood.placement._retry_budget import RetryBudget
 from toucanwood.placement._selector import Choice, TargetSelector
+from toucanwood.placement._signals import (
+    MAX_RATE_LIMIT,
+    MIN_RATE_LIMIT,
+    ResponseSignals,
+    SharedSignal,
+    TargetSignals,
+)
 from toucanwood.placement._target_record import LoadReport, TargetRecord
 
 __all__ = [
@@ -35,6 +42,11 @@
     "ServicePool",
     "TargetRecord",
     "Transfer",
+    "ResponseSignals",
+    "SharedSignal",
+    "TargetSignals",
+    "MAX_RATE_LIMIT",
+    "MIN_RATE_LIMIT",
     "compute_even_shares",
     "compute_object_weights",
 ]
--- /dev/null
+++ b/toucanwood/placement/_signals.py
@@ -0,0 +1,71 @@
+"""What targets say of themselves in their responses."""
+
+import math
+
+import attrs
+
+# Bounds of the rate that a target names, in requests per second. A target that names 0
+# still gets a request now and then, whose response can end the limit.
+MIN_RATE_LIMIT = 0.1
+MAX_RATE_LIMIT = 1e6
+# Time for which an entry reports what it has heard from a target to the controllers.
+REPORT_S = 2.5
+
+
+@attrs.frozen
+class ResponseSignals:
+    """What one response of a target says of the target.
+
+    `rate_limit` is the number of requests per second that it takes from all entries
+    together, or None if it names none. `is_limit_valid` is false if it can't be read.
+    """
+
+    rate_limit: float | None = None
+    is_limit_valid: bool = True
+
+
+@attrs.frozen
+class SharedSignal:
+    """What an entry has heard from one incarnation of a target.
+
+    `rate_limit` is None if the target names none any more. `heard_at` is the time of
+    the response, in seconds of the local clock.
+    """
+
+    target_id: str
+    start_time_ms: int
+    rate_limit: float | None
+    heard_at: float
+
+
+@attrs.define
+class TargetSignals:
+    """What is known of one target from its responses, to this entry or to others."""
+
+    rate_limit: float | None = None
+    # Time of the response that the rate limit is known from.
+    heard_at: float = -math.inf
+    # When this entry itself last got a response that named a limit or ended it.
+    reported_at: float = -math.inf
+
+    def record(self, signals: ResponseSignals, now: float) -> bool:
+        """Record the signals of a response; return whether the rate limit changed."""
+        if not signals.is_limit_valid:
+            return False
+        if signals.rate_limit is None and self.rate_limit is None:
+            return False
+        before, self.rate_limit = self.rate_limit, signals.rate_limit
+        self.heard_at = self.reported_at = now
+        return before != self.rate_limit
+
+    def merge(self, shared: SharedSignal) -> bool:
+        """Take over what another entry has heard later; return whether it changed."""
+        if shared.heard_at <= self.heard_at:
+            return False
+        before, self.rate_limit = self.rate_limit, shared.rate_limit
+        self.heard_at = shared.heard_at
+        return before != self.rate_limit
+
+    def has_news(self, now: float) -> bool:
+        """Return whether this entry should report what it has heard."""
+        return now - self.reported_at < REPORT_S
--- a/toucanwood/placement/_target_record.py
+++ b/toucanwood/placement/_target_record.py
@@ -8,6 +8,7 @@
 
 from toucanwood.fleet import Target
 from toucanwood.placement._health import Health
+from toucanwood.placement._signals import TargetSignals
 
 # Number of objects that an entry remembers to have sent to a target. A target keeps a
 # few dozen objects warm, and these include objects that other entries have sent.
@@ -69,6 +70,7 @@
     _running_requests: dict[int, tuple[float, float]] = attrs.field(factory=dict)
     _last_number: int = 0
     health: Health = attrs.field(factory=Health)
+    signals: TargetSignals = attrs.field(factory=TargetSignals)
     # Requests of other entries at the target: by the last report, and on average.
     _other_load: float = 0.0
     _mean_other_load: float = 0.0
@@ -163,6 +165,7 @@
         self._sent_objects.clear()
         self._other_load = self._mean_other_load = 0.0
         self.slowdown = 1.0
+        self.signals = TargetSignals()
         self.appeared_at = now
 
     def dump(self, now: float) -> dict[str, Any]:
@@ -175,5 +178,6 @@
             "report_age": round(min(now - self._reported_at, 1e6), 2),
             "speed": round(self.slowdown, 2),
             "cold": self.is_cold(now),
+            "rate_limit": self.signals.rate_limit,
             **self.health.dump(),
         }
