Keep the sum of all entries below the rate limit that a target names

What callers saw: targets in need got far more than they could take (LIMIT): 53 requests in 4 s at a limit of 3.5 a second, where 19 fit the limit of the rule without its allowance and 26 with it. Cause: placement did not know of the limit. Change: while a target names a limit, 4 + its rate entries may send to it, chosen by rendezvous hashing as for cold starts, each at an equal share, as a token bucket of one second that starts empty. Without any message the sum stays below the limit, as long as the entries know the same list of entries; one that is not in the list sends nothing. Requests go to other targets, or are refused at once as targets_limited with the time to the next token.

--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Tests of requests that go through an entry."""
 
 import asyncio
+from unittest import mock
 
 from toucanwood.gateway.tests.harness import (
     NAMES,
@@ -15,7 +16,7 @@
     run_scenario,
     stay_silent,
 )
-from toucanwood.placement import MIN_RATE_LIMIT, Health
+from toucanwood.placement import MIN_RATE_LIMIT, Health, TargetSelector
 
 
 def test_response_is_forwarded_with_status_body_and_signature():
@@ -290,4 +291,5 @@
         assert await get_limit_after(respond(headers=name_limit("0"))) == MIN_RATE_LIMIT
         assert await get_limit_after(respond()) is None
 
-    run_scenario(scenario, ScriptedTarget("t-1"))
+    with mock.patch.object(TargetSelector, "may_send", return_value=True):
+        run_scenario(scenario, ScriptedTarget("t-1"))
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -7,6 +7,7 @@
 from toucanwood.placement._health import Health, Outcome
 from toucanwood.placement._link_schedule import LinkSchedule, Transfer
 from toucanwood.placement._pool import Placed, Refused, ServicePool
+from toucanwood.placement._rate_limit import RateShare, choose_senders
 from toucanwood.placement._region_fractions import (
     compute_even_shares,
     compute_object_weights,
@@ -42,11 +43,13 @@
     "ServicePool",
     "TargetRecord",
     "Transfer",
+    "RateShare",
     "ResponseSignals",
     "SharedSignal",
     "TargetSignals",
     "MAX_RATE_LIMIT",
     "MIN_RATE_LIMIT",
+    "choose_senders",
     "compute_even_shares",
     "compute_object_weights",
 ]
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -100,9 +100,7 @@
             self.records, request, times, now, is_urgent=is_urgent
         )
         if choice is None:
-            records = self.records.values()
-            has_target = self.selector.has_candidate(records, request)
-            return self.refuse(request, "no_room" if has_target else "no_target", now)
+            return self._refuse_without_choice(request, now)
         if now + choice.expected_s <= request.objective_at:
             return Placed(choice, "in_time")
         if now + choice.expected_s > request.deadline_at:
@@ -161,6 +159,21 @@
             record.record_load(LoadReport(record.target.slots, 1, 0), now)
         return record.health.record(outcome, now)
 
+    def _refuse_without_choice(self, request: PlacementRequest, now: float) -> Refused:
+        """Refuse a request for which no target has room; say why."""
+        records = self.records.values()
+        if not self.selector.has_candidate(records, request):
+            return self.refuse(request, "no_target", now)
+        delay = self.selector.get_limit_delay(records, request, now)
+        if delay is None:
+            return self.refuse(request, "no_room", now)
+        refused = self.refuse(request, "targets_limited", now)
+        if math.isinf(delay):
+            # Other entries may send to the targets.
+            return refused
+        retry_after = max(refused.retry_after_s, min(delay, MAX_RETRY_AFTER_S))
+        return attrs.evolve(refused, retry_after_s=retry_after)
+
     def _record_utilisation(self, report: LoadReport, now: float) -> None:
         utilisation = (report.running + report.waiting - 1) / max(report.slots, 1)
         utilisation = min(max(utilisation, 0.0), MAX_REPORTED_UTILISATION)
--- a/toucanwood/placement/_selector.py
+++ b/toucanwood/placement/_selector.py
@@ -14,7 +14,8 @@
     ObjectRanking,
     get_warm_probability,
 )
-from toucanwood.placement._cold_start import ColdStartLimiter, choose_senders
+from toucanwood.placement._cold_start import ColdStartLimiter
+from toucanwood.placement._rate_limit import RateShare, choose_senders
 from toucanwood.placement._region_shift import RegionShiftLimiter
 from toucanwood.placement._request import PlacementRequest
 from toucanwood.placement._response_times import ResponseTimes
@@ -67,6 +68,7 @@
     generator: random.Random = attrs.field(factory=random.Random)
     ranking: ObjectRanking = attrs.field(factory=ObjectRanking)
     _cold_start_limiters: dict[str, ColdStartLimiter] = attrs.field(factory=dict)
+    _rate_shares: dict[str, RateShare] = attrs.field(factory=dict)
 
     def choose(
         self,
@@ -103,7 +105,7 @@
             choice = self._evaluate(
                 record, request, times, allowed, now, queue_fraction
             )
-            if choice is None or not self._may_send_if_cold(record, now):
+            if choice is None or not self.may_send(record, now):
                 continue
             if best is None or choice.expected_s < best.expected_s:
                 best = choice
@@ -144,12 +146,16 @@
         """Record a request that is sent to a target."""
         if record.is_cold(now) and self.cold_rate > 0:
             self._find_cold_start_limiter(record).consume(now)
+        share = self._find_rate_share(record, now)
+        if share is not None:
+            share.take(now)
         if self.shift_limiter is not None:
             self.shift_limiter.record_request(record.region, now)
 
     def remove_target(self, target_id: str) -> None:
         """Drop the state of a target that has left."""
         self._cold_start_limiters.pop(target_id, None)
+        self._rate_shares.pop(target_id, None)
 
     def _is_candidate(self, record: TargetRecord, request: PlacementRequest) -> bool:
         target = record.target
@@ -161,6 +167,39 @@
             or not _is_in_allowed_region(record, request)
         )
 
+    def may_send(self, record: TargetRecord, now: float) -> bool:
+        """Return whether the rates of a target allow a request now."""
+        share = self._find_rate_share(record, now)
+        if share is not None and not share.has_token(now):
+            return False
+        return self._may_send_if_cold(record, now)
+
+    def _find_rate_share(self, record: TargetRecord, now: float) -> RateShare | None:
+        """Return the share in the rate limit of a target, None if it names no limit."""
+        rate = record.signals.rate_limit
+        if rate is None:
+            self._rate_shares.pop(record.id, None)
+            return None
+        share = self._rate_shares.get(record.id)
+        if share is None:
+            share = self._rate_shares[record.id] = RateShare(record.id, self.entry_id)
+        share.update(rate, self.entries, now)
+        return share
+
+    def get_limit_delay(
+        self, records: Iterable[TargetRecord], request: PlacementRequest, now: float
+    ) -> float | None:
+        """Return the seconds until a rate limit allows the request, None without one.
+
+        Only targets that could take the request count.
+        """
+        delays = []
+        for record in records:
+            share = self._find_rate_share(record, now)
+            if share is not None and self._is_candidate(record, request):
+                delays.append(share.get_delay(now))
+        return min(delays, default=None)
+
     def _may_send_if_cold(self, record: TargetRecord, now: float) -> bool:
         if not record.is_cold(now) or self.cold_rate <= 0:
             return True
