Share the rate limits that targets name among entries

Cause: an entry learned of a limit, and of its end, only from its own responses. One that may not send to the target would never have learned of the end, and one that had not heard of it went on sending. Controllers keep the latest report on each target in memory, not in the replicated state, and answer polls with what has changed since the last one. The latest response wins, whoever got it; a report on another incarnation is ignored.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -1,6 +1,7 @@
 """The components of one controller process and their life cycle."""
 
 import asyncio
+import random
 import zlib
 from typing import Any
 
@@ -25,6 +26,7 @@
 )
 from toucanwood.controller._region_demand import RegionDemand
 from toucanwood.controller._settings import ControllerSettings
+from toucanwood.controller._shared_signals import SharedSignals
 from toucanwood.controller._target_liveness import TargetLiveness
 from toucanwood.fleet import (
     FleetState,
@@ -67,6 +69,8 @@
 # in force everywhere within seconds.
 MAX_READ_AGE_S = 0.8
 RETRY_AFTER_S = 0.3
+# Size of the random number that tells the versions of one process from others.
+MAX_EPOCH_BITS = 62
 # Fraction of the grace time of a stop in which relayed responses may finish.
 STOP_RELAY_FRACTION = 0.85
 
@@ -87,6 +91,7 @@
         self.directory = EntryDirectory(settings.region_by_data_centre)
         self._region_demand = RegionDemand(self._now())
         self._liveness = TargetLiveness()
+        self._signals = SharedSignals(epoch=random.getrandbits(MAX_EPOCH_BITS) + 1)
         self._quota = QuotaCoordinator()
         self._tasks = TaskGroup()
         self._known = KnownControllers(
@@ -259,6 +264,7 @@
             "entries": self.directory.dump(self._now()),
             "controllers": self._known.list_known(),
             "quota": self._quota.dump(),
+            "rate_limits": self._signals.dump(),
             "network": self.network.dump(),
         }
 
@@ -312,6 +318,7 @@
         now = self._now()
         self.directory.record_announcement(entry, now)
         self._region_demand.record(sender, request.region, request.requests, now)
+        self._signals.record(request.signals, now)
 
     async def _answer_poll(self, sender: str, request: PollFleet) -> FleetUpdate:
         age = self.replica.lease_age()
@@ -330,6 +337,11 @@
             entries_mark=checksum,
             demand=None if demand_mark in (0, request.demand_mark) else dict(demand),
             demand_mark=demand_mark,
+            signals=self._signals.list_since(
+                request.signals_epoch, request.signals_version, self._now()
+            ),
+            signals_epoch=self._signals.epoch,
+            signals_version=self._signals.version,
         )
 
     def list_entries(self) -> tuple[list[str], int]:
@@ -427,6 +439,7 @@
         """Drop expired entries and, as the leader, remove silent targets."""
         now = self._now()
         self._region_demand.remove_entries(self.directory.expire(now))
+        self._signals.expire(now)
         if not self.replica.is_leader():
             self._liveness.stop_checking()
             return
--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -19,7 +19,9 @@
     """Announce the sender as an entry; callers connect to `address`.
 
     `load` is the busy fraction of the entry: 1 means that it is always busy. `requests`
-    is the number of requests that it has received since its start.
+    is the number of requests that it has received since its start. `signals` holds what
+    it has heard from targets lately: the id, start time, rate limit (0 for one that has
+    ended) and age in seconds of each.
     """
 
     address: str = ""
@@ -28,6 +30,7 @@
     is_ready: bool = False
     load: float = 0.0
     requests: int = 0
+    signals: list[list[Any]] = attrs.field(factory=list)
 
 
 @message(101)
@@ -36,12 +39,15 @@
     """Request the changes of the fleet state since `version`.
 
     `entries_mark` and `demand_mark` are the checksums of the list of entries and of the
-    shares of the regions that the sender has.
+    shares of the regions that the sender has. `signals_epoch` and `signals_version`
+    are those of the last signals that it got.
     """
 
     version: int = 0
     entries_mark: int = 0
     demand_mark: int = 0
+    signals_epoch: int = 0
+    signals_version: int = 0
 
 
 @message(102)
@@ -68,6 +74,10 @@
     # The regions' shares in all requests; None if they still match `demand_mark`.
     demand: dict[str, float] | None = None
     demand_mark: int = 0
+    # Changed signals of targets, in the form of `AnnounceEntry`; None if none changed.
+    signals: list[list[Any]] | None = None
+    signals_epoch: int = 0
+    signals_version: int = 0
 
 
 @message(103)
--- /dev/null
+++ b/toucanwood/controller/_shared_signals.py
@@ -0,0 +1,84 @@
+"""What entries have heard from targets, shared among all entries."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+# Time after the last response that named it for which a signal is kept. The entries
+# that may send to the target report it with each response meanwhile.
+SIGNAL_TIMEOUT_S = 60.0
+
+
+@attrs.define
+class _Signal:
+    """The latest report on one target, and the version that it came with."""
+
+    start_time_ms: int
+    rate_limit: float
+    heard_at: float
+    version: int
+
+
+@attrs.define
+class SharedSignals:
+    """Keep the latest report on each target and list what has changed.
+
+    Versions count the changes at this controller; `epoch` tells them from those of
+    another controller, or of this one before a restart. A rate limit of 0 stands for
+    one that has ended. The reports are not part of the replicated state: they change
+    too often, and entries repeat them.
+    """
+
+    epoch: int
+    version: int = 0
+    _by_target: dict[str, _Signal] = attrs.field(factory=dict)
+
+    def record(self, reports: Iterable[list[Any]], now: float) -> None:
+        """Record the reports of an entry: id, start time, rate limit and age."""
+        for target_id, start_time_ms, rate_limit, age_s in reports:
+            heard_at = now - max(age_s, 0.0)
+            known = self._by_target.get(target_id)
+            if known is None:
+                known = self._by_target[target_id] = _Signal(
+                    start_time_ms, 0.0, float("-inf"), 0
+                )
+            is_older = (start_time_ms, heard_at) <= (
+                known.start_time_ms,
+                known.heard_at,
+            )
+            if is_older:
+                continue
+            has_changed = (start_time_ms, rate_limit) != (
+                known.start_time_ms,
+                known.rate_limit,
+            )
+            self.version += has_changed
+            known.start_time_ms, known.rate_limit = start_time_ms, rate_limit
+            known.heard_at = heard_at
+            known.version = self.version if has_changed else known.version
+
+    def list_since(
+        self, epoch: int, version: int, now: float
+    ) -> list[list[Any]] | None:
+        """Return the reports that changed after a version, None if there are none."""
+        if epoch != self.epoch:
+            version = -1
+        changed = [
+            [target_id, item.start_time_ms, item.rate_limit, now - item.heard_at]
+            for target_id, item in self._by_target.items()
+            if item.version > version
+        ]
+        return changed or None
+
+    def expire(self, now: float) -> None:
+        """Drop the reports on targets that nothing was heard from for a long time."""
+        oldest = now - SIGNAL_TIMEOUT_S
+        for target_id, item in list(self._by_target.items()):
+            if item.heard_at < oldest:
+                del self._by_target[target_id]
+
+    def dump(self) -> dict[str, float]:
+        """Return the rate limits in force by target."""
+        items = self._by_target.items()
+        return {key: item.rate_limit for key, item in items if item.rate_limit}
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -18,6 +18,7 @@
     RegionShiftLimiter,
     ResponseSignals,
     ServicePool,
+    SharedSignal,
     TargetRecord,
     TargetSelector,
     compute_object_weights,
@@ -29,6 +30,8 @@
 SAME_DATA_CENTRE_LATENCY_S = 0.0002
 SAME_REGION_LATENCY_S = 0.001
 OTHER_REGION_LATENCY_S = 0.012
+# Time for which a signal is kept for a target that this entry may learn of later.
+SHARED_SIGNAL_TIMEOUT_S = 60.0
 
 
 @attrs.define(eq=False)
@@ -65,6 +68,7 @@
         shift_limiter: RegionShiftLimiter | None,
         demand: Mapping[str, float],
         on_ejected: Callable[[TargetRecord], None],
+        on_signal: Callable[[], None],
     ) -> None:
         self._entry_id = entry_id
         self._data_centre = data_centre
@@ -74,6 +78,10 @@
         # The regions' shares in all requests.
         self.demand = demand
         self._on_ejected = on_ejected
+        # Called when a response has changed what is known of its target.
+        self._on_signal = on_signal
+        # The latest signals that other entries have heard, by target.
+        self._shared_signals: dict[str, SharedSignal] = {}
         self._pools: dict[str, ServicePool] = {}
         self._entries: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
@@ -119,6 +127,46 @@
             log.warning("target_signal_invalid", target=record.id)
         elif record.signals.record(signals, now):
             self._log_limit(record, before, "response", 0.0)
+            self._on_signal()
+
+    def list_heard_signals(self) -> list[list[Any]]:
+        """Return what this entry has heard lately, in the form of `AnnounceEntry`."""
+        now = asyncio.get_running_loop().time()
+        return [
+            [
+                record.id,
+                record.target.start_time_ms,
+                record.signals.rate_limit or 0.0,
+                round(now - record.signals.reported_at, 3),
+            ]
+            for record in self.list_records()
+            if record.signals.has_news(now)
+        ]
+
+    def merge_signals(self, signals: Iterable[list[Any]]) -> None:
+        """Take over what other entries have heard, in the form of `AnnounceEntry`."""
+        now = asyncio.get_running_loop().time()
+        self._shared_signals = {
+            key: item
+            for key, item in self._shared_signals.items()
+            if now - item.heard_at < SHARED_SIGNAL_TIMEOUT_S
+        }
+        records = {record.id: record for record in self.list_records()}
+        for target_id, start_time_ms, rate_limit, age_s in signals:
+            shared = SharedSignal(
+                target_id, start_time_ms, rate_limit or None, now - age_s
+            )
+            self._shared_signals[target_id] = shared
+            if target_id in records:
+                self._merge_signal(records[target_id], now)
+
+    def _merge_signal(self, record: TargetRecord, now: float) -> None:
+        shared = self._shared_signals.get(record.id)
+        if shared is None or shared.start_time_ms != record.target.start_time_ms:
+            return
+        before = record.signals.rate_limit
+        if record.signals.merge(shared):
+            self._log_limit(record, before, "entries", now - shared.heard_at)
 
     def _log_limit(
         self, record: TargetRecord, before: float | None, source: str, age_s: float
@@ -207,6 +255,7 @@
                 target, region, self._estimate_latency(target), appeared_at=appeared_at
             )
             pool.records[target.id] = record
+            self._merge_signal(record, now)
             if appeared_at == float("-inf"):
                 # The first state holds the remaining cold start time at the target's
                 # last update, which may be long ago. A probe gets the current value.
@@ -224,6 +273,7 @@
         if target.remaining_cold_start_s > 0:
             record.cold_until = now + target.remaining_cold_start_s
         record.target = target
+        self._merge_signal(record, now)
 
     def _remove_from_other_pools(self, target: Target) -> None:
         """Remove a target from the pools of other services, which it may have left."""
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -29,6 +29,8 @@
 # timeout, a long reply on a slow link would never arrive in time.
 MAX_POLL_TIMEOUT_S = 2.0
 ANNOUNCE_INTERVAL_S = 1.0
+# Minimum time between an announcement and one because of a change.
+MIN_ANNOUNCE_INTERVAL_S = 0.4
 USAGE_INTERVAL_S = 0.25
 USAGE_TIMEOUT_S = 0.4
 # Age of the last answer up to which an entry without requests sends no report. With the
@@ -69,6 +71,7 @@
         build_announcement: Callable[[], AnnounceEntry],
         on_update: Callable[[], None],
         on_relays: Callable[[list[str]], None],
+        on_signals: Callable[[list[list[Any]]], None],
         peer_port: int,
         controllers: tuple[str, ...],
     ) -> None:
@@ -78,6 +81,7 @@
         self._build_announcement = build_announcement
         self._on_update = on_update
         self._on_relays = on_relays
+        self._on_signals = on_signals
         self._peer_port = peer_port
         self._tasks = TaskGroup()
         self._controllers: list[str] = []
@@ -85,6 +89,10 @@
         self._leader = ""
         self._entries_mark = 0
         self._demand_mark = 0
+        self._signals_epoch = 0
+        self._signals_version = 0
+        self._announced_at = float("-inf")
+        self._next_announcement: asyncio.TimerHandle | None = None
         self._poll_timeout_s = POLL_TIMEOUT_S
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
@@ -112,10 +120,13 @@
 
     async def stop(self) -> None:
         """Stop all tasks."""
+        if self._next_announcement is not None:
+            self._next_announcement.cancel()
         await self._tasks.stop()
 
     def announce(self) -> None:
         """Send this entry's state to every controller now."""
+        self._announced_at = asyncio.get_running_loop().time()
         message = self._build_announcement()
         for controller in self._controllers:
             try:
@@ -123,6 +134,19 @@
             except PeerUnavailable as error:
                 log.debug("controller_unreachable", id=controller, reason=str(error))
 
+    def announce_soon(self) -> None:
+        """Send this entry's state within MIN_ANNOUNCE_INTERVAL_S."""
+        if self._next_announcement is not None:
+            return
+
+        def announce() -> None:
+            self._next_announcement = None
+            self.announce()
+
+        loop = asyncio.get_running_loop()
+        due_at = max(self._announced_at + MIN_ANNOUNCE_INTERVAL_S, loop.time())
+        self._next_announcement = loop.call_at(due_at, announce)
+
     def measure_state_age(self, now: float) -> float:
         """Return the seconds since the fleet view was last proven current."""
         return now - self._state_proven_at
@@ -229,7 +253,13 @@
     async def _probe(self, index: int) -> bool:
         """Return whether the state of a controller is proven; record its version."""
         controller = self._controllers[index]
-        request = PollFleet(PROBE_VERSION, self._entries_mark, self._demand_mark)
+        request = PollFleet(
+            PROBE_VERSION,
+            self._entries_mark,
+            self._demand_mark,
+            self._signals_epoch,
+            self._signals_version,
+        )
         try:
             update = await self._network.call(
                 controller, request, timeout=PROBE_TIMEOUT_S
@@ -264,7 +294,13 @@
         loop = asyncio.get_running_loop()
         controller = self._controllers[self._current_index]
         version = NO_VERSION if self._needs_full_state else self._view.version
-        request = PollFleet(version, self._entries_mark, self._demand_mark)
+        request = PollFleet(
+            version,
+            self._entries_mark,
+            self._demand_mark,
+            self._signals_epoch,
+            self._signals_version,
+        )
         sent_at = loop.time()
         try:
             update = await self._network.call(
@@ -281,6 +317,10 @@
         self.add_controllers(update.controllers)
         self._leader = update.leader or self._leader
         self._on_relays(update.relays)
+        if update.signals is not None:
+            self._on_signals(update.signals)
+        self._signals_epoch = update.signals_epoch
+        self._signals_version = update.signals_version
         is_proven = _is_proven(update)
         may_be_stale = self._view.table is None and self._has_waited_for_proof()
         if not (is_proven or may_be_stale):
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -170,6 +170,7 @@
             on_ejected=lambda record: self.client.close_idle_connections(
                 record.target.address
             ),
+            on_signal=lambda: self.feed.announce_soon(),
         )
         self.prober = Prober(
             dispatcher=self.dispatcher,
@@ -219,6 +220,7 @@
             build_announcement=self._build_announcement,
             on_update=self._on_update,
             on_relays=self._on_relays,
+            on_signals=self.dispatcher.merge_signals,
             peer_port=settings.peer_port,
             controllers=settings.controllers,
         )
@@ -260,6 +262,7 @@
             is_ready=self.is_ready(),
             load=round(self.load_meter.measure(asyncio.get_running_loop().time()), 3),
             requests=sum(self.handler.counts_by_code.values()),
+            signals=self.dispatcher.list_heard_signals(),
         )
 
     def _on_update(self) -> None:
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -68,14 +68,18 @@
         )
 
 
-def build_client(network, view, *, quota=None, on_update=lambda: None):
+def build_client(network, view, *, quota=None, **callbacks):
     return FeedClient(
         network=network,
         view=view,
         quota=quota or QuotaEnforcer(),
-        build_announcement=lambda: None,
-        on_update=on_update,
-        on_relays=lambda relays: None,
+        **{
+            "build_announcement": lambda: None,
+            "on_update": lambda: None,
+            "on_relays": lambda relays: None,
+            "on_signals": lambda signals: None,
+            **callbacks,
+        },
         peer_port=1,
         controllers=tuple(network.proven_from),
     )
