Send nothing to a target that states in a response that it leaves

Cause: entries learned of a target that leaves only by its announcements through the controllers (DRAIN). Change: the header of any valid response of the target marks this incarnation, at once at the entry that got it and within about a second at the others, on the way of the rate limits. No request, retry or probe is placed there, idle connections are closed, running requests end as usual. It holds until the target restarts.

--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -20,8 +20,8 @@
 
     `load` is the busy fraction of the entry: 1 means that it is always busy. `requests`
     is the number of requests that it has received since its start. `signals` holds what
-    it has heard from targets lately: the id, start time, rate limit (0 for one that has
-    ended) and age in seconds of each.
+    it has heard from targets lately: for each the id, start time, rate limit (0 for one
+    that has ended), whether it leaves, and the age in seconds.
     """
 
     address: str = ""
--- a/toucanwood/controller/_shared_signals.py
+++ b/toucanwood/controller/_shared_signals.py
@@ -16,6 +16,7 @@
 
     start_time_ms: int
     rate_limit: float
+    is_leaving: bool
     heard_at: float
     version: int
 
@@ -35,28 +36,26 @@
     _by_target: dict[str, _Signal] = attrs.field(factory=dict)
 
     def record(self, reports: Iterable[list[Any]], now: float) -> None:
-        """Record the reports of an entry: id, start time, rate limit and age."""
-        for target_id, start_time_ms, rate_limit, age_s in reports:
+        """Record the reports of an entry: id, start time, limit, leaving and age.
+
+        The rate limit of the latest response holds; a target that leaves does so until
+        it restarts.
+        """
+        for target_id, start_time_ms, rate_limit, is_leaving, age_s in reports:
             heard_at = now - max(age_s, 0.0)
             known = self._by_target.get(target_id)
-            if known is None:
-                known = self._by_target[target_id] = _Signal(
-                    start_time_ms, 0.0, float("-inf"), 0
-                )
-            is_older = (start_time_ms, heard_at) <= (
-                known.start_time_ms,
-                known.heard_at,
-            )
-            if is_older:
+            if known is not None and start_time_ms < known.start_time_ms:
                 continue
-            has_changed = (start_time_ms, rate_limit) != (
-                known.start_time_ms,
-                known.rate_limit,
-            )
-            self.version += has_changed
-            known.start_time_ms, known.rate_limit = start_time_ms, rate_limit
-            known.heard_at = heard_at
-            known.version = self.version if has_changed else known.version
+            if known is None or start_time_ms > known.start_time_ms:
+                known = _Signal(start_time_ms, 0.0, False, float("-inf"), -1)
+                self._by_target[target_id] = known
+            before = known.rate_limit, known.is_leaving
+            known.is_leaving |= is_leaving
+            if heard_at > known.heard_at:
+                known.rate_limit, known.heard_at = rate_limit, heard_at
+            if known.version < 0 or before != (known.rate_limit, known.is_leaving):
+                self.version += 1
+                known.version = self.version
 
     def list_since(
         self, epoch: int, version: int, now: float
@@ -65,7 +64,13 @@
         if epoch != self.epoch:
             version = -1
         changed = [
-            [target_id, item.start_time_ms, item.rate_limit, now - item.heard_at]
+            [
+                target_id,
+                item.start_time_ms,
+                item.rate_limit,
+                item.is_leaving,
+                now - item.heard_at,
+            ]
             for target_id, item in self._by_target.items()
             if item.version > version
         ]
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -21,6 +21,7 @@
     SharedSignal,
     TargetRecord,
     TargetSelector,
+    TargetSignals,
     compute_object_weights,
 )
 
@@ -67,7 +68,7 @@
         find_region: Callable[[str], str],
         shift_limiter: RegionShiftLimiter | None,
         demand: Mapping[str, float],
-        on_ejected: Callable[[TargetRecord], None],
+        close_connections: Callable[[TargetRecord], None],
         on_signal: Callable[[], None],
     ) -> None:
         self._entry_id = entry_id
@@ -77,7 +78,7 @@
         self._shift_limiter = shift_limiter
         # The regions' shares in all requests.
         self.demand = demand
-        self._on_ejected = on_ejected
+        self._close_connections = close_connections
         # Called when a response has changed what is known of its target.
         self._on_signal = on_signal
         # The latest signals that other entries have heard, by target.
@@ -121,12 +122,12 @@
         record = lease.record
         if record.target.start_time_ms != lease.start_time_ms:
             return
-        before = record.signals.rate_limit
         now = asyncio.get_running_loop().time()
         if not signals.is_limit_valid:
             log.warning("target_signal_invalid", target=record.id)
-        elif record.signals.record(signals, now):
-            self._log_limit(record, before, "response", 0.0)
+        before = attrs.evolve(record.signals)
+        record.signals.record(signals, now)
+        if self._apply_signals(record, before, "response", 0.0):
             self._on_signal()
 
     def list_heard_signals(self) -> list[list[Any]]:
@@ -137,6 +138,7 @@
                 record.id,
                 record.target.start_time_ms,
                 record.signals.rate_limit or 0.0,
+                record.signals.is_leaving,
                 round(now - record.signals.reported_at, 3),
             ]
             for record in self.list_records()
@@ -152,11 +154,10 @@
             if now - item.heard_at < SHARED_SIGNAL_TIMEOUT_S
         }
         records = {record.id: record for record in self.list_records()}
-        for target_id, start_time_ms, rate_limit, age_s in signals:
-            shared = SharedSignal(
-                target_id, start_time_ms, rate_limit or None, now - age_s
+        for target_id, start_time_ms, rate_limit, is_leaving, age_s in signals:
+            self._shared_signals[target_id] = SharedSignal(
+                target_id, start_time_ms, rate_limit or None, is_leaving, now - age_s
             )
-            self._shared_signals[target_id] = shared
             if target_id in records:
                 self._merge_signal(records[target_id], now)
 
@@ -164,23 +165,42 @@
         shared = self._shared_signals.get(record.id)
         if shared is None or shared.start_time_ms != record.target.start_time_ms:
             return
-        before = record.signals.rate_limit
-        if record.signals.merge(shared):
-            self._log_limit(record, before, "entries", now - shared.heard_at)
+        before = attrs.evolve(record.signals)
+        record.signals.merge(shared)
+        self._apply_signals(record, before, "entries", now - shared.heard_at)
 
-    def _log_limit(
-        self, record: TargetRecord, before: float | None, source: str, age_s: float
-    ) -> None:
-        log.info(
-            "target_limit_changed",
+    def _apply_signals(
+        self, record: TargetRecord, before: TargetSignals, source: str, age_s: float
+    ) -> bool:
+        """Log what has changed and stop using a target that leaves.
+
+        Return whether anything has changed.
+        """
+        signals = record.signals
+        event = log.bind(
             target=record.id,
             service=record.target.service,
             start_time_ms=record.target.start_time_ms,
-            limit=record.signals.rate_limit,
-            before=before,
             source=source,
             age_s=round(age_s, 2),
         )
+        if signals.rate_limit != before.rate_limit:
+            event.info(
+                "target_limit_changed",
+                limit=signals.rate_limit,
+                before=before.rate_limit,
+            )
+        if signals.is_leaving and not before.is_leaving:
+            event.info("target_leaving")
+            self._close_connections(record)
+            self._update_ranking(self._get_or_create_pool(record.target.service))
+        return (signals.rate_limit, signals.is_leaving) != (
+            before.rate_limit,
+            before.is_leaving,
+        )
+
+    def _update_ranking(self, pool: ServicePool) -> None:
+        pool.selector.ranking.set_targets(self._compute_target_weights(pool))
 
     def record_broken(self, lease: Lease) -> None:
         """Record a response that broke off after its lease was released."""
@@ -214,7 +234,7 @@
             pool.selector.cold_rate = rules.cold_rate if rules is not None else 0.0
             pool.selector.entries = entries
             pool.selector.evacuated = self._evacuated
-            pool.selector.ranking.set_targets(self._compute_target_weights(pool))
+            self._update_ranking(pool)
 
     def list_records(self) -> list[TargetRecord]:
         """Return the records of all targets."""
@@ -234,7 +254,7 @@
             outcome=outcome.value,
             success_rate=round(lease.record.health.success_rate, 2),
         )
-        self._on_ejected(lease.record)
+        self._close_connections(lease.record)
 
     def _compute_target_weights(self, pool: ServicePool) -> dict[str, float]:
         """Return the targets that objects may be assigned to, with their weights."""
@@ -242,6 +262,7 @@
             record
             for record in pool.records.values()
             if not record.target.is_draining
+            and not record.signals.is_leaving
             and record.target.data_centre not in self._evacuated
         ]
         return compute_object_weights(usable, self._region, self.demand)
--- a/toucanwood/gateway/_headers.py
+++ b/toucanwood/gateway/_headers.py
@@ -50,6 +50,8 @@
     load: str = "Toucanwood-Load"
     # The requests per second that a target takes from all entries together.
     rate_limit: str = "Toucanwood-Rate-Limit"
+    # A target with this header in its responses takes no new requests, if it is "1".
+    leaving: str = "Toucanwood-Leaving"
     # A response with this header comes from the target itself.
     signature: str = ""
     answering_target: str = "Toucanwood-Answering-Target"
@@ -91,13 +93,15 @@
 
     def read_signals(self, headers: CIMultiDictProxy[str]) -> ResponseSignals:
         """Return what a response says of its target; limits are bounded."""
+        is_leaving = headers.get(self.leaving, "").strip() == "1"
         limits = headers.getall(self.rate_limit, ())
         if not limits:
-            return ResponseSignals()
+            return ResponseSignals(is_leaving=is_leaving)
         value = limits[0].strip()
         if len(limits) > 1 or not _DECIMAL_PATTERN.fullmatch(value):
-            return ResponseSignals(is_limit_valid=False)
-        return ResponseSignals(min(max(float(value), MIN_RATE_LIMIT), MAX_RATE_LIMIT))
+            return ResponseSignals(is_limit_valid=False, is_leaving=is_leaving)
+        limit = min(max(float(value), MIN_RATE_LIMIT), MAX_RATE_LIMIT)
+        return ResponseSignals(limit, is_leaving=is_leaving)
 
     def read_remaining_cold_start(self, headers: CIMultiDictProxy[str]) -> float:
         """Return for how many more seconds a target is cold."""
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -167,7 +167,7 @@
             find_region=lambda name: settings.region_by_data_centre.get(name, ""),
             shift_limiter=shift_limiter,
             demand=compute_even_shares(settings.region_by_data_centre),
-            on_ejected=lambda record: self.client.close_idle_connections(
+            close_connections=lambda record: self.client.close_idle_connections(
                 record.target.address
             ),
             on_signal=lambda: self.feed.announce_soon(),
@@ -249,6 +249,7 @@
             "targets_limited": sum(
                 item.signals.rate_limit is not None for item in records
             ),
+            "targets_leaving": sum(item.signals.is_leaving for item in records),
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
             "connections_open": len(self.server.connections),
--- a/toucanwood/gateway/_prober.py
+++ b/toucanwood/gateway/_prober.py
@@ -62,6 +62,8 @@
     def _is_due(self, record: TargetRecord, now: float) -> bool:
         if record.id in self._running or record.target.is_draining:
             return False
+        if record.signals.is_leaving:
+            return False
         if record.health.is_ejected:
             return now >= record.health.probe_at
         return record.is_assumed_cold and now >= record.health.probe_at
--- a/toucanwood/gateway/tests/test_signals.py
+++ b/toucanwood/gateway/tests/test_signals.py
@@ -72,7 +72,7 @@
             find_region=lambda data_centre: "north",
             shift_limiter=None,
             demand={},
-            on_ejected=lambda record: None,
+            close_connections=lambda record: None,
             on_signal=lambda: self.feed.announce_soon(),
         )
         view = FleetView(targets={item.id: item for item in TARGETS})
@@ -86,14 +86,15 @@
             on_signals=self.dispatcher.merge_signals,
         )
 
-    def send(self, limits):
-        """Send a request; its target names its limit. Return the target's id."""
+    def send(self, limits, leaving=()):
+        """Send a request; its target states its signals. Return the target's id."""
         now = asyncio.get_running_loop().time()
         request = PlacementRequest("s", (1, 1), now, now + 0.5, now + 2.0, kind="r")
         lease = self.dispatcher.acquire(request)
         if isinstance(lease, Refused):
             return None
-        signals = ResponseSignals(limits.get(lease.target.id))
+        target = lease.target.id
+        signals = ResponseSignals(limits.get(target), is_leaving=target in leaving)
         self.dispatcher.record_signals(lease, signals)
         # Unlike a success, it leaves no response time, which would prefer the target.
         self.dispatcher.release(lease, Outcome.CANCELLED)
@@ -126,8 +127,7 @@
 def test_limit_that_one_entry_hears_holds_and_ends_at_all_entries():
     async def scenario(entries):
         limits = {"t-0": 2.0}
-        while entries[0].send(limits) != "t-0":
-            pass
+        assert entries[0].send(limits) == "t-0"
         await asyncio.sleep(1.0)
         assert all(entry.list_limits() == limits for entry in entries)
         counts = dict.fromkeys(["t-0", "t-1", "t-2", None], 0)
@@ -154,10 +154,24 @@
         restarted = [attrs.evolve(item, start_time_ms=2) for item in TARGETS]
         view = FleetView(targets={item.id: item for item in restarted})
         dispatcher.update(view, ENTRIES)
-        dispatcher.record_signals(lease, ResponseSignals(1.0))
-        dispatcher.merge_signals([[lease.target.id, 1, 1.0, 0.0]])
+        dispatcher.record_signals(lease, ResponseSignals(1.0, is_leaving=True))
+        dispatcher.merge_signals([[lease.target.id, 1, 1.0, True, 0.0]])
         assert entries[0].list_limits() == {}
-        dispatcher.merge_signals([[lease.target.id, 2, 1.0, 0.0]])
+        assert not any(item.signals.is_leaving for item in dispatcher.list_records())
+        dispatcher.merge_signals([[lease.target.id, 2, 1.0, False, 0.0]])
         assert entries[0].list_limits() == {lease.target.id: 1.0}
 
     run_entries(scenario)
+
+
+# Guards against requests to a target that leaves from entries that did not hear it.
+def test_target_that_one_entry_hears_leaving_gets_no_request_from_any():
+    async def scenario(entries):
+        leaving = {"t-0", "t-1"}
+        heard = {entries[0].send({}, leaving) for _ in range(6)}
+        assert heard == {"t-0", "t-1", "t-2"}
+        await asyncio.sleep(1.0)
+        targets = {entry.send({}) for entry in entries for _ in range(20)}
+        assert targets == {"t-2"}
+
+    run_entries(scenario)
--- a/toucanwood/placement/_selector.py
+++ b/toucanwood/placement/_selector.py
@@ -161,6 +161,7 @@
         target = record.target
         return not (
             target.is_draining
+            or record.signals.is_leaving
             or record.health.is_ejected
             or target.data_centre in self.evacuated
             or target.id in request.excluded
--- a/toucanwood/placement/_signals.py
+++ b/toucanwood/placement/_signals.py
@@ -18,10 +18,12 @@
 
     `rate_limit` is the number of requests per second that it takes from all entries
     together, or None if it names none. `is_limit_valid` is false if it can't be read.
+    A target that `is_leaving` takes no new requests.
     """
 
     rate_limit: float | None = None
     is_limit_valid: bool = True
+    is_leaving: bool = False
 
 
 @attrs.frozen
@@ -35,6 +37,7 @@
     target_id: str
     start_time_ms: int
     rate_limit: float | None
+    is_leaving: bool
     heard_at: float
 
 
@@ -43,28 +46,29 @@
     """What is known of one target from its responses, to this entry or to others."""
 
     rate_limit: float | None = None
+    # Once set, it holds until the target restarts.
+    is_leaving: bool = False
     # Time of the response that the rate limit is known from.
     heard_at: float = -math.inf
-    # When this entry itself last got a response that named a limit or ended it.
+    # When this entry itself last got a response with something to report.
     reported_at: float = -math.inf
 
-    def record(self, signals: ResponseSignals, now: float) -> bool:
-        """Record the signals of a response; return whether the rate limit changed."""
-        if not signals.is_limit_valid:
-            return False
-        if signals.rate_limit is None and self.rate_limit is None:
-            return False
-        before, self.rate_limit = self.rate_limit, signals.rate_limit
-        self.heard_at = self.reported_at = now
-        return before != self.rate_limit
-
-    def merge(self, shared: SharedSignal) -> bool:
-        """Take over what another entry has heard later; return whether it changed."""
-        if shared.heard_at <= self.heard_at:
-            return False
-        before, self.rate_limit = self.rate_limit, shared.rate_limit
-        self.heard_at = shared.heard_at
-        return before != self.rate_limit
+    def record(self, signals: ResponseSignals, now: float) -> None:
+        """Record the signals of a response."""
+        if signals.is_leaving:
+            self.is_leaving = True
+            self.reported_at = now
+        has_limit = signals.rate_limit is not None or self.rate_limit is not None
+        if signals.is_limit_valid and has_limit:
+            self.rate_limit = signals.rate_limit
+            self.heard_at = self.reported_at = now
+
+    def merge(self, shared: SharedSignal) -> None:
+        """Take over what another entry has heard; the latest rate limit holds."""
+        self.is_leaving |= shared.is_leaving
+        if shared.heard_at > self.heard_at:
+            self.rate_limit = shared.rate_limit
+            self.heard_at = shared.heard_at
 
     def has_news(self, now: float) -> bool:
         """Return whether this entry should report what it has heard."""
--- a/toucanwood/placement/_target_record.py
+++ b/toucanwood/placement/_target_record.py
@@ -179,5 +179,6 @@
             "speed": round(self.slowdown, 2),
             "cold": self.is_cold(now),
             "rate_limit": self.signals.rate_limit,
+            "leaving": self.signals.is_leaving,
             **self.health.dump(),
         }
