Leave a target alone for as long as it asks in a refusal

Change: a 503 of a target with Retry-After, decimal seconds and at most 300, keeps the requests of this entry away until then. They go to other targets, or are refused at once as targets_waiting with the time to the earliest end. Probes follow the same signals: none to a target that waits or leaves, and those of a target with a limit take a token of the entry's share. Evidence: new tests of placement and of an entry on loopback; odd values (negative, not a number, infinite, empty, repeated, a text, 10**9 s) are ignored or bounded.

--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -130,6 +130,12 @@
         if self._apply_signals(record, before, "response", 0.0):
             self._on_signal()
 
+    def take_probe(self, record: TargetRecord) -> bool:
+        """Return whether a target may be probed now; count the probe in its rate."""
+        now = asyncio.get_running_loop().time()
+        pool = self._get_or_create_pool(record.target.service)
+        return pool.selector.take_probe(record, now)
+
     def list_heard_signals(self) -> list[list[Any]]:
         """Return what this entry has heard lately, in the form of `AnnounceEntry`."""
         now = asyncio.get_running_loop().time()
@@ -174,8 +180,9 @@
     ) -> bool:
         """Log what has changed and stop using a target that leaves.
 
-        Return whether anything has changed.
+        Return whether there is anything new for other entries.
         """
+        now = asyncio.get_running_loop().time()
         signals = record.signals
         event = log.bind(
             target=record.id,
@@ -190,6 +197,8 @@
                 limit=signals.rate_limit,
                 before=before.rate_limit,
             )
+        if signals.waiting_until > before.waiting_until:
+            event.info("target_waiting", wait_s=round(signals.waiting_until - now, 3))
         if signals.is_leaving and not before.is_leaving:
             event.info("target_leaving")
             self._close_connections(record)
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -303,7 +303,7 @@
             return Outcome.REPLACED, _Retry(verdict)
         is_not_run = self._header_names.not_run in headers
         if is_not_run or self._header_names.is_signed(headers):
-            signals = self._header_names.read_signals(headers)
+            signals = self._header_names.read_signals(status, headers)
             self._dispatcher.record_signals(lease, signals)
         if is_not_run:
             message = f"the target did not run the request (status {status})"
--- a/toucanwood/gateway/_headers.py
+++ b/toucanwood/gateway/_headers.py
@@ -8,6 +8,7 @@
 
 from toucanwood.placement import (
     MAX_RATE_LIMIT,
+    MAX_WAIT_S,
     MIN_RATE_LIMIT,
     LoadReport,
     ResponseSignals,
@@ -91,17 +92,21 @@
         running, waiting, slots = (int(item) for item in match.groups())
         return LoadReport(running, waiting, slots)
 
-    def read_signals(self, headers: CIMultiDictProxy[str]) -> ResponseSignals:
-        """Return what a response says of its target; limits are bounded."""
+    def read_signals(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> ResponseSignals:
+        """Return what a response says of its target; values are bounded."""
         is_leaving = headers.get(self.leaving, "").strip() == "1"
-        limits = headers.getall(self.rate_limit, ())
-        if not limits:
-            return ResponseSignals(is_leaving=is_leaving)
-        value = limits[0].strip()
-        if len(limits) > 1 or not _DECIMAL_PATTERN.fullmatch(value):
-            return ResponseSignals(is_limit_valid=False, is_leaving=is_leaving)
-        limit = min(max(float(value), MIN_RATE_LIMIT), MAX_RATE_LIMIT)
-        return ResponseSignals(limit, is_leaving=is_leaving)
+        limit = _read_decimal(headers, self.rate_limit)
+        wait_s = _read_decimal(headers, "Retry-After") if status == 503 else None
+        return ResponseSignals(
+            rate_limit=None
+            if limit is None
+            else min(max(limit, MIN_RATE_LIMIT), MAX_RATE_LIMIT),
+            is_limit_valid=limit is not None or self.rate_limit not in headers,
+            is_leaving=is_leaving,
+            wait_s=min(wait_s or 0.0, MAX_WAIT_S),
+        )
 
     def read_remaining_cold_start(self, headers: CIMultiDictProxy[str]) -> float:
         """Return for how many more seconds a target is cold."""
@@ -140,6 +145,14 @@
         return listed
 
 
+def _read_decimal(headers: CIMultiDictProxy[str], name: str) -> float | None:
+    """Return the number in a header that occurs once, None if there is none."""
+    values = headers.getall(name, ())
+    if len(values) != 1 or not _DECIMAL_PATTERN.fullmatch(values[0].strip()):
+        return None
+    return float(values[0])
+
+
 def filter_headers(
     headers: Iterable[tuple[str, str]], excluded: Iterable[str] = ()
 ) -> list[tuple[str, str]]:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -249,6 +249,9 @@
             "targets_limited": sum(
                 item.signals.rate_limit is not None for item in records
             ),
+            "targets_waiting": sum(
+                item.signals.waiting_until > now for item in records
+            ),
             "targets_leaving": sum(item.signals.is_leaving for item in records),
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
--- a/toucanwood/gateway/_prober.py
+++ b/toucanwood/gateway/_prober.py
@@ -55,15 +55,13 @@
     async def _start_due_probes(self) -> None:
         now = asyncio.get_running_loop().time()
         for record in self._dispatcher.list_records():
-            if self._is_due(record, now):
+            if self._is_due(record, now) and self._dispatcher.take_probe(record):
                 self._running.add(record.id)
                 self._tasks.start(self._probe(record), name=f"probe-{record.id}")
 
     def _is_due(self, record: TargetRecord, now: float) -> bool:
         if record.id in self._running or record.target.is_draining:
             return False
-        if record.signals.is_leaving:
-            return False
         if record.health.is_ejected:
             return now >= record.health.probe_at
         return record.is_assumed_cold and now >= record.health.probe_at
--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -129,8 +129,8 @@
     return step
 
 
-def respond_not_run():
-    return respond(503, b"", [f"{NAMES.not_run}: 1"], signed=False)
+def respond_not_run(headers=()):
+    return respond(503, b"", [f"{NAMES.not_run}: 1", *headers], signed=False)
 
 
 def respond_misdirected():
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+from multidict import CIMultiDict, CIMultiDictProxy
+
 from toucanwood.gateway.tests.harness import (
     NAMES,
     ScriptedTarget,
@@ -16,7 +18,7 @@
     run_scenario,
     stay_silent,
 )
-from toucanwood.placement import MIN_RATE_LIMIT, Health, TargetSelector
+from toucanwood.placement import MAX_WAIT_S, MIN_RATE_LIMIT, Health, TargetSelector
 
 
 def test_response_is_forwarded_with_status_body_and_signature():
@@ -293,3 +295,37 @@
 
     with mock.patch.object(TargetSelector, "may_send", return_value=True):
         run_scenario(scenario, ScriptedTarget("t-1"))
+
+
+# Guards against requests and probes to a target that leaves or has asked to wait.
+def test_signals_in_responses_keep_requests_and_probes_away():
+    async def scenario(harness):
+        leaving, full, _ = harness.targets
+        leaving.script = [respond(headers=[f"{NAMES.leaving}: 1"])]
+        full.script = [respond_not_run(headers=["Retry-After: 30.5"])]
+        for _ in range(20):
+            status, _, _ = await harness.send("/safe/x")
+            assert status in (200, 503)
+        records = {item.id: item for item in harness.entry.dispatcher.list_records()}
+        for name in ("t-0", "t-1"):
+            records[name].health.eject(0.0)
+            records[name].is_assumed_cold = True
+        await asyncio.sleep(0.3)
+        counts = [len(item.received) for item in harness.targets]
+        assert counts[:2] == [1, 1], counts
+        assert records["t-0"].signals.is_leaving
+
+    run_scenario(scenario, *(ScriptedTarget(f"t-{number}") for number in range(3)))
+
+
+# Guards against odd values that fail a request or keep a target unused for ever.
+def test_wait_is_read_from_refusals_only_and_bounded():
+    def read_wait(status, *values):
+        headers = CIMultiDict([("Retry-After", value) for value in values])
+        return NAMES.read_signals(status, CIMultiDictProxy(headers)).wait_s
+
+    assert read_wait(503, "2.5") == 2.5
+    assert read_wait(503, "1000000000") == MAX_WAIT_S
+    assert read_wait(200, "2") == read_wait(429, "2") == read_wait(503, "1", "2") == 0.0
+    for value in ("", "-3", "nan", "inf", "soon", "1e3", "9" * 400, "٣"):
+        assert read_wait(503, value) == 0.0, value
--- a/toucanwood/placement/__init__.py
+++ b/toucanwood/placement/__init__.py
@@ -19,6 +19,7 @@
 from toucanwood.placement._selector import Choice, TargetSelector
 from toucanwood.placement._signals import (
     MAX_RATE_LIMIT,
+    MAX_WAIT_S,
     MIN_RATE_LIMIT,
     ResponseSignals,
     SharedSignal,
@@ -48,6 +49,7 @@
     "SharedSignal",
     "TargetSignals",
     "MAX_RATE_LIMIT",
+    "MAX_WAIT_S",
     "MIN_RATE_LIMIT",
     "choose_senders",
     "compute_even_shares",
--- a/toucanwood/placement/_pool.py
+++ b/toucanwood/placement/_pool.py
@@ -164,14 +164,15 @@
         records = self.records.values()
         if not self.selector.has_candidate(records, request):
             return self.refuse(request, "no_target", now)
-        delay = self.selector.get_limit_delay(records, request, now)
-        if delay is None:
+        explanation = self.selector.explain_delay(records, request, now)
+        if explanation is None:
             return self.refuse(request, "no_room", now)
-        refused = self.refuse(request, "targets_limited", now)
+        reason, delay = explanation
+        refused = self.refuse(request, reason, now)
         if math.isinf(delay):
             # Other entries may send to the targets.
             return refused
-        retry_after = max(refused.retry_after_s, min(delay, MAX_RETRY_AFTER_S))
+        retry_after = max(refused.retry_after_s, delay)
         return attrs.evolve(refused, retry_after_s=retry_after)
 
     def _record_utilisation(self, report: LoadReport, now: float) -> None:
--- a/toucanwood/placement/_selector.py
+++ b/toucanwood/placement/_selector.py
@@ -169,12 +169,27 @@
         )
 
     def may_send(self, record: TargetRecord, now: float) -> bool:
-        """Return whether the rates of a target allow a request now."""
+        """Return whether a target takes a request of this entry now."""
+        if now < record.signals.waiting_until:
+            return False
         share = self._find_rate_share(record, now)
         if share is not None and not share.has_token(now):
             return False
         return self._may_send_if_cold(record, now)
 
+    def take_probe(self, record: TargetRecord, now: float) -> bool:
+        """Return whether a target may be probed now; count the probe in its rate."""
+        signals = record.signals
+        if signals.is_leaving or now < signals.waiting_until:
+            return False
+        share = self._find_rate_share(record, now)
+        if share is None:
+            return True
+        has_token = share.has_token(now)
+        if has_token:
+            share.take(now)
+        return has_token
+
     def _find_rate_share(self, record: TargetRecord, now: float) -> RateShare | None:
         """Return the share in the rate limit of a target, None if it names no limit."""
         rate = record.signals.rate_limit
@@ -187,19 +202,27 @@
         share.update(rate, self.entries, now)
         return share
 
-    def get_limit_delay(
+    def explain_delay(
         self, records: Iterable[TargetRecord], request: PlacementRequest, now: float
-    ) -> float | None:
-        """Return the seconds until a rate limit allows the request, None without one.
+    ) -> tuple[str, float] | None:
+        """Return why targets take no request now and the seconds until one does.
 
-        Only targets that could take the request count.
+        None if no target that could take the request asks to wait or names a limit.
         """
         delays = []
         for record in records:
+            if not self._is_candidate(record, request):
+                continue
+            wait_s = record.signals.waiting_until - now
             share = self._find_rate_share(record, now)
-            if share is not None and self._is_candidate(record, request):
-                delays.append(share.get_delay(now))
-        return min(delays, default=None)
+            if wait_s > 0.0:
+                delays.append((wait_s, "targets_waiting"))
+            elif share is not None:
+                delays.append((share.get_delay(now), "targets_limited"))
+        if not delays:
+            return None
+        delay, reason = min(delays)
+        return reason, delay
 
     def _may_send_if_cold(self, record: TargetRecord, now: float) -> bool:
         if not record.is_cold(now) or self.cold_rate <= 0:
--- a/toucanwood/placement/_signals.py
+++ b/toucanwood/placement/_signals.py
@@ -8,6 +8,8 @@
 # still gets a request now and then, whose response can end the limit.
 MIN_RATE_LIMIT = 0.1
 MAX_RATE_LIMIT = 1e6
+# Upper bound of the time for which a target that refused a request is left alone.
+MAX_WAIT_S = 300.0
 # Time for which an entry reports what it has heard from a target to the controllers.
 REPORT_S = 2.5
 
@@ -18,12 +20,14 @@
 
     `rate_limit` is the number of requests per second that it takes from all entries
     together, or None if it names none. `is_limit_valid` is false if it can't be read.
-    A target that `is_leaving` takes no new requests.
+    A target that `is_leaving` takes no new requests. One that refused the request wants
+    none from this entry for `wait_s` seconds.
     """
 
     rate_limit: float | None = None
     is_limit_valid: bool = True
     is_leaving: bool = False
+    wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -48,6 +52,8 @@
     rate_limit: float | None = None
     # Once set, it holds until the target restarts.
     is_leaving: bool = False
+    # Until when the target wants no request from this entry.
+    waiting_until: float = -math.inf
     # Time of the response that the rate limit is known from.
     heard_at: float = -math.inf
     # When this entry itself last got a response with something to report.
@@ -55,6 +61,8 @@
 
     def record(self, signals: ResponseSignals, now: float) -> None:
         """Record the signals of a response."""
+        if signals.wait_s > 0.0:
+            self.waiting_until = max(self.waiting_until, now + signals.wait_s)
         if signals.is_leaving:
             self.is_leaving = True
             self.reported_at = now
--- a/toucanwood/placement/_target_record.py
+++ b/toucanwood/placement/_target_record.py
@@ -180,5 +180,6 @@
             "cold": self.is_cold(now),
             "rate_limit": self.signals.rate_limit,
             "leaving": self.signals.is_leaving,
+            "waiting": round(max(self.signals.waiting_until - now, 0.0), 2),
             **self.health.dump(),
         }
--- a/toucanwood/placement/tests/test_signals.py
+++ b/toucanwood/placement/tests/test_signals.py
@@ -120,3 +120,50 @@
     assert 17 <= counts[0] <= 21
     assert 170 <= counts[1] <= 210
     assert 8 <= counts[2] <= 12
+
+
+# Guards against requests to a target that has asked to be left alone, and against one
+# good response in between that makes it forgotten.
+def test_target_that_asks_to_wait_gets_nothing_until_the_end():
+    pool = build_pool("e-0", frozenset({"e-0"}), targets=2)
+    record = pool.records["t-0"]
+    record.signals.record(ResponseSignals(wait_s=4.0), 1.0)
+    record.signals.record(ResponseSignals(), 1.1)
+    record.signals.record(ResponseSignals(wait_s=0.5), 1.2)
+    targets = {send(pool, 1.2 + step / 20) for step in range(76)}
+    assert targets == {"t-1"}
+    assert "t-0" in {send(pool, 5.01 + step / 20) for step in range(20)}
+
+
+def test_refusal_states_when_the_first_target_ends_its_wait():
+    pool = build_pool("e-0", frozenset({"e-0"}), targets=2)
+    for number, wait_s in enumerate((4.0, 2.5)):
+        signals = ResponseSignals(wait_s=wait_s)
+        pool.records[f"t-{number}"].signals.record(signals, 1.0)
+    refused = send(pool, 1.5)
+    assert (refused.reason, refused.retry_after_s) == ("targets_waiting", 2.0)
+
+
+# Guards against signals that undo each other.
+def test_limit_leaving_and_wait_hold_together():
+    pool = build_pool("e-0", frozenset({"e-0"}), targets=2)
+    record = pool.records["t-0"]
+    record.signals.record(ResponseSignals(5.0, wait_s=1.0), 0.0)
+    assert {send(pool, step / 20) for step in range(20)} == {"t-1"}
+    times = [1.0 + step / 50 for step in range(200)]
+    assert 15 <= sum(send(pool, now) == "t-0" for now in times) <= 21
+    record.signals.record(ResponseSignals(5.0, is_leaving=True), 5.0)
+    record.signals.record(ResponseSignals(), 5.1)
+    assert {send(pool, 6.0 + step / 20) for step in range(40)} == {"t-1"}
+
+
+# Guards against probes of many entries that exceed the limit of an ejected target.
+def test_probes_count_in_the_limit_of_their_target():
+    pool = build_pool("e-0", frozenset({"e-0"}))
+    record = pool.records["t-0"]
+    assert all(pool.selector.take_probe(record, 0.0) for _ in range(9))
+    name_limit(pool, 0.5)
+    probes = sum(pool.selector.take_probe(record, step / 10) for step in range(100))
+    assert 4 <= probes <= 5
+    record.signals.record(ResponseSignals(is_leaving=True), 10.0)
+    assert not pool.selector.take_probe(record, 20.0)
