--- a/tools/play_sites.py
+++ b/tools/play_sites.py
@@ -24,13 +24,12 @@
     hunt_days: int
 
 
-# The users let the later deployments stand in for the first two.
 SITES = (
-    Site("further/crfai-toucanwood.toml", 40),
-    Site("further-grown/crfai-toucanwood-grown.toml", 8),
-    Site("large/retiro-cintas-large.toml", 8),
+    Site("sites/retiro-cintas.toml", 40),
+    Site("sites/teilnetz.toml", 40),
     Site("grown/retiro-cintas-grown.toml", 8),
     Site("grown/teilnetz-grown.toml", 8),
+    Site("large/retiro-cintas-large.toml", 8),
 )
 
 
