Let the targets of the soak name limits, ask for a pause and leave

The soak checks from what the targets see that each told entry follows the signals, unless a fault of that entry or of its link excuses it.

--- a/soak/_history.py
+++ b/soak/_history.py
@@ -30,6 +30,8 @@
     drained_at: dict = attrs.field(factory=dict)
     violations: list = attrs.field(factory=list)
     post_recovery_results: list = attrs.field(factory=list)
+    # The entry and the time to which and at which each request was sent.
+    sent: dict = attrs.field(factory=dict)
 
     def record_run(self, request_id, target, request_line, headers):
         """Record a request that a target received, and check its headers."""
@@ -46,6 +48,19 @@
         if drained_at is not None and time.monotonic() - drained_at > DRAIN_LIMIT_S:
             self.violations.append(f"{request_id}: reached draining target {target.id}")
 
+    def record_sent(self, request_id, entry):
+        """Record that a caller sends a request to an entry."""
+        self.sent[request_id] = entry, time.monotonic()
+
+    def find_entry(self, request_id):
+        """Return the entry that a request was sent to, or None for a probe."""
+        return self.sent[request_id][0] if request_id in self.sent else None
+
+    def record_arrival(self, request_id, signals):
+        """Record in the signals of a target that a request has arrived there."""
+        if request_id in self.sent:
+            signals.arrivals.append((*self.sent[request_id], time.monotonic()))
+
     def record_response(self, request_id, response, *, is_after_recovery_period):
         """Record a response (None if there was none) and check its content."""
         self.responses[request_id] = response
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,6 +13,13 @@
 from soak._history import History
 from soak._http import send_json, send_request
 from soak._proxy import LinkFault, Proxy
+from soak._signals import (
+    LEAVING_S,
+    LIMIT_S,
+    LIMITS,
+    WAIT_S,
+    FaultTimes,
+)
 from soak._targets import FaultyTarget
 
 API_KEY = "key-of-the-soak"
@@ -75,6 +82,7 @@
         self._proxies = {}
         self._has_lost_disk = False
         self._faults = []
+        self._fault_times = FaultTimes()
         self._request_numbers = itertools.count(1)
         self._revision = 0
         self._is_after_recovery_period = False
@@ -98,6 +106,9 @@
                 await proxy.stop()
             self._fleet.stop_all()
         violations = self._history.list_violations()
+        for target in self._targets:
+            for signals in target.signals:
+                violations += signals.check(self._fault_times)
         if violations:
             violations.append(f"logs are in {self._fleet.folder}")
         else:
@@ -193,6 +204,7 @@
 
     async def _send_request(self, name, route_type):
         request_id = f"q{self._seed}-{next(self._request_numbers)}"
+        self._history.record_sent(request_id, name)
         is_unsafe = route_type == "unsafe"
         if is_unsafe:
             self._history.unsafe_ids.add(request_id)
@@ -217,6 +229,7 @@
     async def _run_phases(self):
         callers = [asyncio.create_task(self._run_caller()) for _ in range(CALLER_COUNT)]
         operator = asyncio.create_task(self._run_operator())
+        signals = asyncio.create_task(self._change_signals())
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         await asyncio.sleep(self._fault_duration_s)
         self._is_fault_phase_over = True
@@ -227,6 +240,9 @@
         for proxy in self._proxies.values():
             proxy.set_fault(LinkFault.NONE)
         await asyncio.sleep(RECOVERY_S)
+        signals.cancel()
+        for target in self._targets:
+            target.signals[-1].end_limit()
         self._is_after_recovery_period = True
         await asyncio.sleep(MEASUREMENT_S)
         for task in (*callers, operator):
@@ -242,6 +258,28 @@
             await self._send_request(name, self._rng.choice(["safe", "unsafe"]))
             await asyncio.sleep(CALLER_PAUSE_S)
 
+    async def _change_signals(self):
+        """Let targets name limits, ask to wait, and leave and start again."""
+        rng = self._rng
+        while True:
+            await asyncio.sleep(rng.uniform(0.3, 1.0))
+            now = time.monotonic()
+            for target in self._targets:
+                signals = target.signals[-1]
+                if signals.limit is not None and now > signals.limit_until:
+                    signals.end_limit()
+                if signals.leaving_until and now > signals.leaving_until:
+                    target.restart()
+            signals = rng.choice(self._targets).signals[-1]
+            kind = rng.choice(["limit", "wait", "leave"])
+            leaving = [item for item in self._targets if item.signals[-1].leaving_until]
+            if kind == "limit":
+                signals.start_limit(rng.choice(LIMITS), rng.uniform(*LIMIT_S))
+            elif kind == "wait":
+                signals.next_wait_s = rng.uniform(*WAIT_S)
+            elif not leaving:
+                signals.leaving_until = now + rng.uniform(*LEAVING_S)
+
     async def _run_operator(self):
         while True:
             await asyncio.sleep(self._rng.uniform(0.3, 1.0))
@@ -265,8 +303,10 @@
             if kind in DISK_FAULTS and not self._is_disk_fault_allowed(kind, name):
                 continue
             self._faults.append(f"{kind} {name}")
+            begin = time.monotonic()
             with contextlib.suppress(KeyError):
                 await self._inject_process_fault(kind, name)
+            self._fault_times.record(name, begin, time.monotonic())
 
     async def _inject_link_fault(self):
         name = self._rng.choice(sorted(self._proxies))
@@ -275,12 +315,16 @@
             ["reset", LinkFault.DELAY, LinkFault.SILENCE, LinkFault.ONE_WAY]
         )
         self._faults.append(f"{kind} link of {name}")
+        begin = time.monotonic()
         if kind == "reset":
             proxy.reset_connections()
-            return
-        proxy.set_fault(kind)
-        await asyncio.sleep(self._rng.uniform(0.2, 2.5))
-        proxy.set_fault(LinkFault.NONE)
+        else:
+            proxy.set_fault(kind)
+            await asyncio.sleep(self._rng.uniform(0.2, 2.5))
+            proxy.set_fault(LinkFault.NONE)
+        # The proxies and the targets number their names alike.
+        target = name.replace("target-", "i-")
+        self._fault_times.record(target, begin, time.monotonic())
 
     def _is_disk_fault_allowed(self, kind, name):
         """Return whether the fleet has to tolerate this disk fault.
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from soak._http import send_json
+from soak._signals import TargetSignals
 
 SLOTS = 4
 QUEUE_LENGTH = 12
@@ -35,6 +36,8 @@
         self._tasks = set()
         # The last response of each connection.
         self._last_responses = {}
+        # One item for each incarnation; the last one is the present.
+        self.signals = [TargetSignals(self.id)]
 
     async def start(self):
         host, _, port = self.address.rpartition(":")
@@ -47,6 +50,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def restart(self):
+        """Begin a new incarnation with the same id and address."""
+        self.start_time_ms = max(time.time_ns() // 1_000_000, self.start_time_ms + 1)
+        self._sequence = 0
+        self.signals.append(TargetSignals(self.id))
+
     async def announce(self):
         """Send one announcement; return whether it was acknowledged."""
         self._sequence += 1
@@ -115,7 +124,10 @@
         if headers.get("X-Target-Instance") != self.id:
             self._write_response(writer, 421, request_id, b"", signed=False)
             return True
-        if self._running >= SLOTS + QUEUE_LENGTH or self._rng.random() < 0.03:
+        signals = self.signals[-1]
+        self._history.record_arrival(request_id, signals)
+        is_full = self._running >= SLOTS + QUEUE_LENGTH or self._rng.random() < 0.03
+        if is_full or signals.next_wait_s:
             self._write_response(
                 writer, 503, request_id, b"", signed=False, not_run=True
             )
@@ -140,6 +152,7 @@
     def _write_response(
         self, writer, status, request_id, body, *, signed=True, not_run=False
     ):
+        """Write a response with the signals of the present incarnation."""
         head_lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {request_id}"]
         if signed:
             head_lines.append("X-Response-Signature: s")
@@ -147,6 +160,9 @@
             head_lines.append("X-Not-Executed: 1")
         head_lines.append(f"X-Instance-Id: {self.id}")
         head_lines.append(f"X-Server-Load: {max(self._running, 1)},0,{SLOTS}")
+        entry = self._history.find_entry(request_id)
+        if entry is not None and status != 421:
+            head_lines += self.signals[-1].build_headers(entry, is_refusal=not_run)
         head_lines.append(f"Content-Length: {len(body)}")
         response = ("\r\n".join(head_lines) + "\r\n\r\n").encode() + body
         self._last_responses[writer] = response
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,6 +1,9 @@
+import time
+
 from soak._history import History
 from soak._http import Response
 from soak._run import run_seed
+from soak._signals import FaultTimes, TargetSignals
 
 # Seeds to run. A seed that has failed is added with a line on its cause; none has yet.
 SEEDS = (1,)
@@ -73,3 +76,45 @@
             str(request_number), None, is_after_recovery_period=True
         )
     assert history.list_violations() == ["after the faults 0 of 10 served"]
+
+
+def build_signals(**changed):
+    signals = TargetSignals("i-1", **changed)
+    signals.build_headers("entry-1", is_refusal=True)
+    return signals
+
+
+def receive_at(signals, *times, entry="entry-1"):
+    now = time.monotonic()
+    signals.arrivals += [(entry, now + at, now + at) for at in times]
+
+
+def test_reports_requests_that_ignore_the_signals_of_a_target():
+    leaving = build_signals(leaving_until=1.0)
+    receive_at(leaving, 1.5, 2.5)
+    receive_at(leaving, 2.5, entry="entry-2")
+    assert len(leaving.check(FaultTimes())) == 1
+    waiting = build_signals(next_wait_s=3.0)
+    receive_at(waiting, 0.1, 0.2, 0.3, 0.4, 1.0, 2.0, 3.5)
+    assert waiting.check(FaultTimes()) == []
+    receive_at(waiting, 1.5)
+    assert len(waiting.check(FaultTimes())) == 1
+    limited = build_signals(limit=1.0)
+    receive_at(limited, *(3.1 + number / 10 for number in range(12)))
+    limited.end_limit()
+    limited.ended_limits = [
+        (1.0, begin, end + 9, told) for _, begin, end, told in limited.ended_limits
+    ]
+    assert len(limited.check(FaultTimes())) == 1
+
+
+def test_fault_of_an_entry_excuses_requests_that_ignore_a_signal():
+    leaving = build_signals(leaving_until=1.0)
+    receive_at(leaving, 2.5)
+    faults = FaultTimes()
+    now = time.monotonic()
+    faults.record("entry-2", now, now + 1.0)
+    assert len(leaving.check(faults)) == 1
+    leaving.violations.clear()
+    faults.record("entry-1", now + 1.0, now + 1.5)
+    assert leaving.check(faults) == []
