Describe the signals of targets and measure what they cost

Polls without news no longer look at each signal. The report and the story of a request show the signals; their events are limited in the log.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -21,7 +21,9 @@
     PollFleet,
     ReportUsage,
 )
+from toucanwood.controller._shared_signals import SharedSignals
 from toucanwood.fleet import FleetView, Target, TargetState
+from toucanwood.placement import choose_senders
 from toucanwood.quota import QuotaCoordinator, Usage
 from toucanwood.routing import Organisation
 
@@ -32,6 +34,8 @@
 # Number of targets to design for: 110 services with about 20 each.
 DESIGN_TARGETS = 2200
 TARGET_COUNTS = (200, 600, 1200)
+LIMITED_TARGET_COUNTS = (20, 220, 1100)
+SENDER_ENTRY_COUNTS = (60, 200, 900)
 REGIONS = 11
 CALLS = 200
 
@@ -143,6 +147,34 @@
     return lambda: FleetView().replace(1, state)
 
 
+def _build_signals(limited: int) -> list[list[Any]]:
+    return [
+        [f"i-{number:010x}", 1_700_000_000_000 + number, 2.5, False, 0.123]
+        for number in range(limited)
+    ]
+
+
+def _build_signal_report(limited: int) -> Callable[[], Any]:
+    """Return the recording of one report on ten of the targets with a limit."""
+    signals = SharedSignals(epoch=1)
+    signals.record(_build_signals(limited), 0.0)
+    report = _build_signals(10)
+    return lambda: signals.record(report, 1.0)
+
+
+def _build_signal_poll(limited: int) -> Callable[[], Any]:
+    """Return the answer of a poll after one of the limits has changed."""
+    signals = SharedSignals(epoch=1)
+    signals.record(_build_signals(limited), 0.0)
+    return lambda: signals.list_since(1, signals.version - 1, 1.0)
+
+
+def _build_sender_choice(entries: int) -> Callable[[], Any]:
+    """Return the choice of the senders of a target after the entries have changed."""
+    names = frozenset(f"10.0.{n // 250}.{n % 250}" for n in range(entries))
+    return lambda: choose_senders("i-0000000001", names, 6)
+
+
 def run(seed: int) -> dict[str, Any]:
     """Measure polls, usage reports, lookups and full states; `seed` is unused."""
     return asyncio.run(_measure_all())
@@ -165,7 +197,29 @@
         "state_us_by_targets": measure_by_size(
             TARGET_COUNTS, DESIGN_TARGETS, _build_replace
         ),
+        "signal_report_us_by_limited_targets": measure_by_size(
+            LIMITED_TARGET_COUNTS, DESIGN_TARGETS, _build_signal_report
+        ),
+        "signal_poll_us_by_limited_targets": measure_by_size(
+            LIMITED_TARGET_COUNTS, DESIGN_TARGETS, _build_signal_poll
+        ),
+        "senders_us_by_entries": measure_by_size(
+            SENDER_ENTRY_COUNTS, DESIGN_ENTRIES, _build_sender_choice
+        ),
         "bytes": {
+            "announcement_with_10_signals": count_bytes(
+                AnnounceEntry(
+                    "10.0.1.200:8206",
+                    "region-1",
+                    "dc-12",
+                    True,
+                    0.123,
+                    signals=_build_signals(10),
+                )
+            ),
+            "answer_with_100_signals": count_bytes(
+                FleetUpdate(version=12345, signals=_build_signals(100))
+            ),
             "poll": count_bytes(PollFleet(12345, 2**31)),
             "answer_without_news": count_bytes(
                 FleetUpdate(
--- a/toucanwood/controller/_shared_signals.py
+++ b/toucanwood/controller/_shared_signals.py
@@ -63,6 +63,8 @@
         """Return the reports that changed after a version, None if there are none."""
         if epoch != self.epoch:
             version = -1
+        elif version >= self.version:
+            return None
         changed = [
             [
                 target_id,
--- a/toucanwood/report/_timeline.py
+++ b/toucanwood/report/_timeline.py
@@ -22,6 +22,9 @@
 }
 STATE_EVENTS = {
     "target_ejected": "ejected by an entry",
+    "target_limit_changed": "rate limit changed",
+    "target_waiting": "asked an entry to wait",
+    "target_leaving": "leaving, by a response",
     "target_silent": "silent",
     "target_left": "left",
     "gateway_started": "entry started",
--- a/toucanwood/request_history/_history.py
+++ b/toucanwood/request_history/_history.py
@@ -14,6 +14,9 @@
 TARGET_EVENTS = frozenset(
     {
         "target_ejected",
+        "target_limit_changed",
+        "target_waiting",
+        "target_leaving",
         "target_probed",
         "target_reported",
         "target_left",
