Let the shares of a rate limit save up one and a half seconds of it

Cause: with eight entries and a limit of 3.5 a second each share is half a request a second, and a bucket of one request lost the time in which no request came. With Poisson arrivals of 1.4 a second at each sender (those whose objects are there) 0.74 of such a limit was used. Change: all senders together may save up 1.5 s of the limit and 4 requests. Measured: the simulated worst case (all shares full, then more requests than the limit, 1 to 182 entries) stays within the rule's allowance; a window of 4 s gets at most 5.5 times the limit and 4 requests, where the rule allows 6 times and 5.

--- a/toucanwood/placement/_rate_limit.py
+++ b/toucanwood/placement/_rate_limit.py
@@ -14,8 +14,9 @@
 # Number of entries that may send to a target whose rate is near 0. Each may have one
 # request at once, so with all entries of a large fleet the sum would exceed the rate.
 MIN_SENDERS = 4
-# Time in which a share earns the requests that may be sent at once, at least one.
-BURST_S = 1.0
+# Time in which the rate of a target earns the requests that all senders together may
+# send at once, beside one of each of MIN_SENDERS.
+BURST_S = 1.5
 
 
 def choose_senders(
@@ -44,6 +45,7 @@
     rate: float = 0.0
     entries: Collection[str] = frozenset()
     own_rate: float = 0.0
+    _burst: float = 0.0
     _tokens: float = 0.0
     _updated_at: float = math.inf
 
@@ -55,9 +57,13 @@
         self.rate = rate
         self.entries = entries
         senders = choose_senders(self.target_id, entries, MIN_SENDERS + int(rate))
-        is_sender = self.entry_id in senders
-        self.own_rate = rate / len(senders) if is_sender else 0.0
-        self._tokens = min(self._tokens, self._get_burst())
+        if self.entry_id in senders:
+            self.own_rate = rate / len(senders)
+            burst = (rate * BURST_S + MIN_SENDERS) / len(senders)
+            self._burst = max(burst, 1.0)
+        else:
+            self.own_rate = self._burst = 0.0
+        self._tokens = min(self._tokens, self._burst)
 
     def has_token(self, now: float) -> bool:
         """Return whether a request may be sent now."""
@@ -79,8 +85,5 @@
     def _earn(self, now: float) -> None:
         elapsed = max(now - self._updated_at, 0.0)
         earned = self._tokens + elapsed * self.own_rate
-        self._tokens = min(earned, self._get_burst())
+        self._tokens = min(earned, self._burst)
         self._updated_at = now
-
-    def _get_burst(self) -> float:
-        return max(self.own_rate * BURST_S, 1.0) if self.own_rate > 0.0 else 0.0
--- a/toucanwood/placement/tests/test_signals.py
+++ b/toucanwood/placement/tests/test_signals.py
@@ -67,9 +67,11 @@
             pools = [build_pool(name, entries) for name in sorted(entries)]
             for pool in pools:
                 name_limit(pool, limit)
+                send(pool, 0.0)
             times = []
+            # Every share is saved up in a pause, then there are requests in plenty.
             for step in range(20 * 20):
-                now = step / 20
+                now = 30.0 + step / 20
                 for pool in generator.sample(pools, min(count, 48)):
                     if send(pool, now) == "t-0":
                         times.append(now)
