Do not handle a request whose caller has left before it was read

Cause: a busy entry reads a request and the end of its connection in consecutive steps of the event loop, and the handler ran in between, up to the write on a pooled connection. Change: the handler starts one step later, and the end of a connection cancels its requests at once instead of with the closing of the transport. Evidence: the new test failed before (five of five such requests were handled).

--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -220,6 +220,8 @@
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
+        self._is_closing = True
+        self._cancel_requests()
         return False
 
     def is_first(self, responder: Responder) -> bool:
@@ -303,6 +305,9 @@
 
     async def _run_handler(self, responder: Responder) -> None:
         try:
+            # The end of the connection may have arrived together with the request; it
+            # is processed in the next step of the event loop and cancels this task.
+            await asyncio.sleep(0)
             await self._handle(responder)
         except asyncio.CancelledError:
             raise
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 from toucanwood.httpd import BodyTooLarge, HttpServer, Response
 from toucanwood.routing import CallerLimits
@@ -297,3 +298,30 @@
 
     asyncio.run(main(60_000, header_bytes=1024))
     asyncio.run(main(10, header_timeout_s=0.1))
+
+
+# Guards against requests that run although their caller has left: a busy server reads
+# the request and the end of its connection at the same time.
+def test_request_whose_caller_has_already_left_is_not_handled():
+    handled = []
+
+    async def handle(responder):
+        handled.append(responder.request.path)
+        await responder.send(Response(200))
+
+    async def main():
+        async with run_server(handle) as server:
+            host, _, port = server.address.rpartition(":")
+            for number in range(5):
+                sock = socket.create_connection((host, int(port)))
+                await asyncio.sleep(0.01)
+                sock.sendall(build_request(f"/{number}"))
+                sock.close()
+                await asyncio.sleep(0.02)
+            reader, writer = await connect(server)
+            writer.write(build_request("/kept"))
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    asyncio.run(main())
+    assert handled == ["/kept"]
