Tell entries of the end of a limit that nobody has heard of for a minute

Cause: a controller forgot a limit after a minute without reports. An entry that may not send to the target, or that was cut off when the limit ended, kept it for ever and left the target unused. Change: the controller then reports the limit as ended, and keeps the report until the target leaves the fleet. Evidence: the test of the expiry asserted that the report is dropped, which is the fault; it now asserts that the end is listed, and that the report goes with its target.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -439,7 +439,7 @@
         """Drop expired entries and, as the leader, remove silent targets."""
         now = self._now()
         self._region_demand.remove_entries(self.directory.expire(now))
-        self._signals.expire(now)
+        self._signals.expire(self.state.targets, now)
         if not self.replica.is_leader():
             self._liveness.stop_checking()
             return
--- a/toucanwood/controller/_shared_signals.py
+++ b/toucanwood/controller/_shared_signals.py
@@ -1,12 +1,12 @@
 """What entries have heard from targets, shared among all entries."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Any
 
 import attrs
 
-# Time after the last response that named it for which a signal is kept. The entries
-# that may send to the target report it with each response meanwhile.
+# Time after the last response that named it for which a limit is kept. The entries that
+# may send to the target report it with each response meanwhile.
 SIGNAL_TIMEOUT_S = 60.0
 
 
@@ -78,12 +78,22 @@
         ]
         return changed or None
 
-    def expire(self, now: float) -> None:
-        """Drop the reports on targets that nothing was heard from for a long time."""
+    def expire(self, targets: Container[str], now: float) -> None:
+        """End the limits that nobody has heard of for a long time.
+
+        The report stays until the target has left the fleet, so that an entry that was
+        cut off meanwhile learns of the end too.
+        """
         oldest = now - SIGNAL_TIMEOUT_S
         for target_id, item in list(self._by_target.items()):
-            if item.heard_at < oldest:
+            if item.heard_at >= oldest:
+                continue
+            if target_id not in targets:
                 del self._by_target[target_id]
+            elif item.rate_limit:
+                self.version += 1
+                item.rate_limit, item.heard_at = 0.0, now
+                item.version = self.version
 
     def dump(self) -> dict[str, float]:
         """Return the rate limits in force by target."""
--- a/toucanwood/controller/tests/test_shared_signals.py
+++ b/toucanwood/controller/tests/test_shared_signals.py
@@ -37,12 +37,19 @@
     assert signals.dump() == {}
 
 
-def test_report_that_nobody_repeats_expires():
+# Guards against entries that leave a target unused for ever: one that may not send to
+# it learns of the end of its limit from others only.
+def test_limit_that_nobody_repeats_ends_at_every_entry():
     signals = SharedSignals(epoch=7)
     signals.record([["t-1", 1, 3.5, False, 0.0]], 10.0)
-    signals.expire(10.0 + SIGNAL_TIMEOUT_S - 1)
+    seen = signals.version
+    signals.expire({"t-1"}, 10.0 + SIGNAL_TIMEOUT_S - 1)
     assert list_limits(signals) == {"t-1": 3.5}
-    signals.expire(10.0 + SIGNAL_TIMEOUT_S + 1)
+    signals.expire({"t-1"}, 10.0 + SIGNAL_TIMEOUT_S + 1)
+    assert list_limits(signals, 7, seen) == {"t-1": 0.0}
+    signals.expire({"t-1"}, 10.0 + 10 * SIGNAL_TIMEOUT_S)
+    assert list_limits(signals, 7, seen) == {"t-1": 0.0}
+    signals.expire(set(), 10.0 + 10 * SIGNAL_TIMEOUT_S)
     assert list_limits(signals) == {}
 
 
