Keep the state when the signals in the same answer can't be read; split the feed client

Cause: an error in the signals of targets, for instance from a controller of a later version, ended each poll before its state was applied. Change: such an error is logged and the state is applied; lists may have further items at their end. Evidence: the new test failed before (no state in 10 s) and passes now.

--- a/toucanwood/controller/_shared_signals.py
+++ b/toucanwood/controller/_shared_signals.py
@@ -41,7 +41,7 @@
         The rate limit of the latest response holds; a target that leaves does so until
         it restarts.
         """
-        for target_id, start_time_ms, rate_limit, is_leaving, age_s in reports:
+        for target_id, start_time_ms, rate_limit, is_leaving, age_s, *_ in reports:
             heard_at = now - max(age_s, 0.0)
             known = self._by_target.get(target_id)
             if known is not None and start_time_ms < known.start_time_ms:
--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -160,7 +160,8 @@
             if now - item.heard_at < SHARED_SIGNAL_TIMEOUT_S
         }
         records = {record.id: record for record in self.list_records()}
-        for target_id, start_time_ms, rate_limit, is_leaving, age_s in signals:
+        # Later versions may append items.
+        for target_id, start_time_ms, rate_limit, is_leaving, age_s, *_ in signals:
             self._shared_signals[target_id] = SharedSignal(
                 target_id, start_time_ms, rate_limit or None, is_leaving, now - age_s
             )
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -1,9 +1,8 @@
 """The client of the controllers: fleet state, announcements and quota usage."""
 
 import asyncio
-import itertools
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -17,6 +16,7 @@
     decode_payload,
 )
 from toucanwood.fleet import FleetView
+from toucanwood.gateway._controller_search import ControllerSearch, is_proven
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaEnforcer
 from toucanwood.utils import TaskGroup, run_periodically, run_step
@@ -37,23 +37,16 @@
 # next interval, the answer stays younger than the time after which the entry limits
 # locally.
 MAX_UNREPORTED_S = 0.45
-# Maximum age of a polled state that is accepted as proven current.
-MAX_STATE_AGE_S = 1.0
 # Age from which the state is reported as stale, once until it is proven again.
 STALE_STATE_AGE_S = 1.5
-# Number of controllers to which probes are sent at each interval; the interval before
-# the first state, and the one after a controller was lost. All entries probe at the
-# same time if there is no leader.
-PROBED_CONTROLLERS = 3
+# Interval between probes before the first state, and after a controller was lost. All
+# entries probe at the same time if there is no leader.
 PROBE_INTERVAL_S = 0.1
 RESELECT_INTERVAL_S = 0.25
-# Timeout of a probe, and time for which one search lasts before the first state.
-PROBE_TIMEOUT_S = 2.0
+# Time for which one search lasts before the first state.
 PROBE_ROUND_S = 0.5
 # Version in a poll that requests the full state.
 NO_VERSION = -1
-# Version in a probe. It is newer than that of any state, so no answer carries a state.
-PROBE_VERSION = 2**62
 # Time from its start after which an entry without any fleet state also accepts a state
 # that is not proven current.
 FIRST_STATE_WAIT_S = 1.5
@@ -82,10 +75,14 @@
         self._on_update = on_update
         self._on_relays = on_relays
         self._on_signals = on_signals
-        self._peer_port = peer_port
         self._tasks = TaskGroup()
-        self._controllers: list[str] = []
-        self._current_index = 0
+        self._search = ControllerSearch(
+            network,
+            peer_port=peer_port,
+            is_usable=lambda update: (
+                is_proven(update) and update.version >= view.version
+            ),
+        )
         self._leader = ""
         self._entries_mark = 0
         self._demand_mark = 0
@@ -101,8 +98,6 @@
         self._needs_full_state = False
         # Set until `on_update` has returned without an error.
         self._has_new_content = False
-        # Versions of the controllers that answered a probe, by index.
-        self._probed_versions: dict[int, int] = {}
         self.entries: frozenset[str] = frozenset()
         # The regions' shares in all requests; empty until a controller has sent them.
         self.demand: dict[str, float] = {}
@@ -128,7 +123,7 @@
         """Send this entry's state to every controller now."""
         self._announced_at = asyncio.get_running_loop().time()
         message = self._build_announcement()
-        for controller in self._controllers:
+        for controller in self._search.controllers:
             try:
                 self._network.send(controller, message)
             except PeerUnavailable as error:
@@ -154,10 +149,8 @@
     def dump(self) -> dict[str, Any]:
         """Return a JSON-serialisable description."""
         return {
-            "controllers": self._controllers,
-            "current": self._controllers[self._current_index]
-            if self._controllers
-            else "",
+            "controllers": self._search.controllers,
+            "current": self._search.current,
             "leader": self._leader,
             "age_s": self._get_rounded_age(),
             "entries": sorted(self.entries),
@@ -176,17 +169,15 @@
         )
 
     async def _get_first_state(self) -> None:
-        is_selected = await self._select_proven_controller(
-            self._current_index, interval_s=PROBE_INTERVAL_S, wait_s=PROBE_ROUND_S
+        is_selected = await self._search.select(
+            self._build_poll,
+            interval_s=PROBE_INTERVAL_S,
+            wait_s=PROBE_ROUND_S,
         )
-        if not is_selected and self._has_waited_for_proof() and self._probed_versions:
+        if not is_selected and self._has_waited_for_proof():
             # Without a leader, no state can be proven. A controller that has just been
             # started may lack the withdrawal of a key or of a target.
-            self._current_index, _ = max(
-                self._probed_versions.items(), key=lambda item: item[1]
-            )
-            self._probed_versions.pop(self._current_index)
-            is_selected = True
+            is_selected = self._search.select_newest()
         if is_selected:
             await self._poll_and_log()
 
@@ -194,93 +185,17 @@
         now = asyncio.get_running_loop().time()
         return now - self._started_at > FIRST_STATE_WAIT_S
 
-    async def _select_proven_controller(
-        self, first: int, *, interval_s: float, wait_s: float
-    ) -> bool:
-        """Probe controllers until one proves its state; return whether one has.
-
-        Probes go to a few further controllers at each interval, in the order of the
-        list from index `first`. Earlier probes stay pending, since a reply may be slow
-        on a busy link. The answers to probes carry no state: several copies would
-        delay each other.
-        """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + wait_s
-        probes: dict[asyncio.Task[bool], int] = {}
-        indexes = itertools.count(first)
-        try:
-            while loop.time() < deadline:
-                self._start_probes(probes, indexes)
-                if await self._wait_for_proof(probes, loop.time() + interval_s):
-                    return True
-                self._report_staleness()
-            self._current_index = next(indexes) % len(self._controllers)
-            return False
-        finally:
-            for probe in probes:
-                probe.cancel()
-
-    def _start_probes(
-        self, probes: dict[asyncio.Task[bool], int], indexes: Iterator[int]
-    ) -> None:
-        """Probe the next controllers that no probe is pending for."""
-        known = len(self._controllers)
-        for number in itertools.islice(indexes, min(PROBED_CONTROLLERS, known)):
-            index = number % known
-            if index not in probes.values():
-                probe = asyncio.ensure_future(self._probe(index))
-                probes[probe] = index
-
-    async def _wait_for_proof(
-        self, probes: dict[asyncio.Task[bool], int], until: float
-    ) -> bool:
-        """Wait until a probe finds a proven state, which selects its controller."""
-        loop = asyncio.get_running_loop()
-        while probes and loop.time() < until:
-            done, _ = await asyncio.wait(
-                probes,
-                timeout=until - loop.time(),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for probe in done:
-                index = probes.pop(probe)
-                if probe.result():
-                    self._current_index = index
-                    return True
-        await asyncio.sleep(until - loop.time())
-        return False
-
-    async def _probe(self, index: int) -> bool:
-        """Return whether the state of a controller is proven; record its version."""
-        controller = self._controllers[index]
-        request = PollFleet(
-            PROBE_VERSION,
-            self._entries_mark,
-            self._demand_mark,
-            self._signals_epoch,
-            self._signals_version,
-        )
-        try:
-            update = await self._network.call(
-                controller, request, timeout=PROBE_TIMEOUT_S
-            )
-        except PeerUnavailable as error:
-            log.debug("controller_unreachable", id=controller, reason=str(error))
-            return False
-        if not isinstance(update, FleetUpdate):
-            return False
-        self.add_controllers(update.controllers)
-        self._probed_versions[index] = update.version
-        return _is_proven(update) and update.version >= self._view.version
-
     async def _poll_with_failover(self) -> None:
         """Poll one controller; select another one if it does not prove its state."""
-        if not await self._poll_and_log():
-            await self._select_proven_controller(
-                self._current_index + 1,
-                interval_s=RESELECT_INTERVAL_S,
-                wait_s=math.inf,
-            )
+        if await self._poll_and_log():
+            return
+        self._search.skip_current()
+        await self._search.select(
+            self._build_poll,
+            interval_s=RESELECT_INTERVAL_S,
+            wait_s=math.inf,
+            on_interval=self._report_staleness,
+        )
 
     async def _poll_and_log(self) -> bool:
         """Poll the selected controller; return whether its state is proven current."""
@@ -289,18 +204,22 @@
         finally:
             self._report_staleness()
 
-    async def _poll(self) -> bool:
-        """Poll the selected controller; return whether its state is proven current."""
-        loop = asyncio.get_running_loop()
-        controller = self._controllers[self._current_index]
-        version = NO_VERSION if self._needs_full_state else self._view.version
-        request = PollFleet(
+    def _build_poll(self, version: int) -> PollFleet:
+        return PollFleet(
             version,
             self._entries_mark,
             self._demand_mark,
             self._signals_epoch,
             self._signals_version,
         )
+
+    async def _poll(self) -> bool:
+        """Poll the selected controller; return whether its state is proven current."""
+        loop = asyncio.get_running_loop()
+        controller = self._search.current
+        request = self._build_poll(
+            NO_VERSION if self._needs_full_state else self._view.version
+        )
         sent_at = loop.time()
         try:
             update = await self._network.call(
@@ -317,13 +236,9 @@
         self.add_controllers(update.controllers)
         self._leader = update.leader or self._leader
         self._on_relays(update.relays)
-        if update.signals is not None:
-            self._on_signals(update.signals)
-        self._signals_epoch = update.signals_epoch
-        self._signals_version = update.signals_version
-        is_proven = _is_proven(update)
+        self._pass_on_signals(update)
         may_be_stale = self._view.table is None and self._has_waited_for_proof()
-        if not (is_proven or may_be_stale):
+        if not (is_proven(update) or may_be_stale):
             self._log_unused_update(controller, update, "not proven current")
             return False
         if update.version < self._view.version:
@@ -331,9 +246,9 @@
             return False
         if not self._apply_update(update):
             return False
-        if is_proven:
+        if is_proven(update):
             self._state_proven_at = sent_at - update.age_s
-        return is_proven
+        return is_proven(update)
 
     def _apply_update(self, update: FleetUpdate) -> bool:
         """Apply the answer of a controller; return False if its content is unusable."""
@@ -353,7 +268,7 @@
                 revision=self._view.revision,
                 before=revision,
                 version=update.version,
-                controller=self._controllers[self._current_index],
+                controller=self._search.current,
                 age_s=round(update.age_s, 2),
             )
         self._apply_entries_and_demand(update)
@@ -383,6 +298,16 @@
             self._demand_mark = update.demand_mark
             self._has_new_content = True
 
+    def _pass_on_signals(self, update: FleetUpdate) -> None:
+        """Pass on the signals of targets; an error must not keep the state back."""
+        if update.signals is not None:
+            try:
+                self._on_signals(update.signals)
+            except Exception as error:
+                log.error("update_not_used", error=repr(error))
+        self._signals_epoch = update.signals_epoch
+        self._signals_version = update.signals_version
+
     def _pass_on_update(self) -> bool:
         """Call `on_update`; after an error, it is called again with the next answer."""
         try:
@@ -419,11 +344,7 @@
 
     def add_controllers(self, controllers: "tuple[str, ...] | list[str]") -> None:
         """Add controllers that are not known yet."""
-        for controller in controllers:
-            if controller in self._controllers:
-                continue
-            self._network.set_address(controller, f"{controller}:{self._peer_port}")
-            self._controllers.append(controller)
+        self._search.add(controllers)
 
     def _log_lost_controller(self, controller: str, reason: str) -> None:
         log.info(
@@ -458,7 +379,7 @@
         self._is_reported_stale = is_stale
         log.info(
             "state_stale" if is_stale else "state_proven",
-            controller=self._controllers[self._current_index],
+            controller=self._search.current,
             age_s=age,
             version=self._view.version,
             revision=self._view.revision,
@@ -467,7 +388,3 @@
     def _get_rounded_age(self) -> float:
         now = asyncio.get_running_loop().time()
         return round(min(self.measure_state_age(now), 1e9), 2)
-
-
-def _is_proven(update: FleetUpdate) -> bool:
-    return 0 <= update.age_s <= MAX_STATE_AGE_S
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -35,6 +35,7 @@
     # Sent to an entry that has a state, if set.
     changes: bytes | None = None
     state: bytes = STATE
+    signals: list | None = None
     sent_states: int = 0
     reports: list = attrs.field(factory=list)
 
@@ -63,6 +64,7 @@
             age_s=0.1 if is_proven else -1.0,
             state=self.state if has_state else None,
             changes=self.changes if has_changes else None,
+            signals=self.signals,
             controllers=sorted(self.proven_from),
             leader=next(iter(self.proven_from)),
         )
@@ -226,3 +228,21 @@
 
     first, second, *_ = run_virtual(main())
     assert second - first < MAX_APPLY_S
+
+
+# Guards against an entry that gets no configuration any more because it can't read the
+# signals of targets in the same answer.
+def test_error_in_signals_does_not_keep_the_state_back():
+    async def main():
+        def fail(signals):
+            raise ValueError("the signals can't be read")
+
+        network = SimulatedControllers({"a": 0.0}, signals=[["t-1"]])
+        view = FleetView()
+        client = build_client(network, view, on_signals=fail)
+        client.start()
+        seconds = await wait_until(lambda: view.revision == 1, 10.0)
+        await client.stop()
+        return seconds
+
+    assert run_virtual(main()) < MAX_APPLY_S
