Keep an odd number of voters when a lost disk is repaired

The group had six voters, so neither half had a majority. Cause: a voter that has lost its disk becomes a learner under repair. The group then lacked a voter and promoted the spare learner, and the repaired one became a voter again: five voters and one became six, for good. Change: a member under repair that is live counts as a voter to come. With six voters the users' rules are not broken by this alone, since neither half of six machines is a stable core; it costs every change and proof during a split.

--- a/toucanwood/controller/_group.py
+++ b/toucanwood/controller/_group.py
@@ -32,6 +32,33 @@
     return members if members % 2 else max(members - 1, 1)
 
 
+def find_promotable_member(
+    members: Members, gone: Iterable[str], live: Iterable[str]
+) -> str | None:
+    """Return a live learner that the group needs as a voter, or None.
+
+    A voter whose lost disk is being repaired becomes a voter again and counts as one.
+    Otherwise a learner would take its place as well, and the number would be even.
+    """
+    gone = set(gone)
+    present = [
+        member
+        for controller, member in members.by_id.items()
+        if controller not in gone and member.role is not MemberRole.LEARNER
+    ]
+    if len(present) >= choose_voter_count(len(members.by_id) - len(gone)):
+        return None
+    live = set(live)
+    return next(
+        (
+            controller
+            for controller, member in members.by_id.items()
+            if member.role is MemberRole.LEARNER and controller in live
+        ),
+        None,
+    )
+
+
 def find_removable_member(members: Members, gone: Iterable[str]) -> str | None:
     """Return a gone member that is not needed any more, or None.
 
@@ -142,14 +169,11 @@
             result = await self._replica.add_learner(controller)
             log.info("controller_added", id=controller, result=str(result))
             return
-        present_voters = set(members.voters) - gone
-        present_count = len(members.by_id) - len(gone)
-        if len(present_voters) < choose_voter_count(present_count):
-            for controller, member in members.by_id.items():
-                if member.role is MemberRole.LEARNER and controller in live:
-                    result = await self._replica.promote(controller)
-                    log.info("controller_promoted", id=controller, result=str(result))
-                    return
+        promotable = find_promotable_member(members, gone, live)
+        if promotable is not None:
+            result = await self._replica.promote(promotable)
+            log.info("controller_promoted", id=promotable, result=str(result))
+            return
         removable = find_removable_member(members, gone)
         if removable is not None:
             result = await self._replica.remove(removable)
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -12,6 +12,7 @@
 from toucanwood.controller._group import (
     MemberLiveness,
     choose_voter_count,
+    find_promotable_member,
     find_removable_member,
 )
 from toucanwood.controller.tests.harness import DOCUMENT, TARGET, run_scenario, wait_for
@@ -122,14 +123,38 @@
     assert not liveness.list_gone("ab", "a", 9.0)
 
 
-def test_member_is_removable_only_if_others_have_taken_its_place():
-    def build(voters, learners=""):
-        members = Members({})
-        for role, ids in ((MemberRole.VOTER, voters), (MemberRole.LEARNER, learners)):
-            for key in ids:
-                members = members.with_member(key, Member(f"disk-{key}", role))
-        return members
+def build_members(voters, learners="", repairing=""):
+    members = Members({})
+    for role, ids in (
+        (MemberRole.VOTER, voters),
+        (MemberRole.LEARNER, learners),
+        (MemberRole.REPAIRING, repairing),
+    ):
+        for key in ids:
+            members = members.with_member(key, Member(f"disk-{key}", role))
+    return members
+
 
+# Guards against an even number of voters, which a partition into two halves leaves
+# without a leader: while the lost disk of a voter was repaired, a learner took its
+# place as well.
+def test_learner_does_not_take_the_place_of_a_voter_under_repair():
+    cases = {
+        # voters, learners, repairing, gone: promotable
+        ("abcde", "f", "", ""): None,
+        ("abcd", "f", "e", ""): None,
+        ("abcd", "f", "e", "e"): "f",
+        ("abcde", "f", "", "e"): "f",
+        ("abc", "de", "", ""): "d",
+        ("abcde", "fg", "", ""): "f",
+    }
+    for (voters, learners, repairing, gone), expected in cases.items():
+        members = build_members(voters, learners, repairing)
+        live = set(members.by_id) - set(gone)
+        assert find_promotable_member(members, gone, live) == expected, voters
+
+
+def test_member_is_removable_only_if_others_have_taken_its_place():
     cases = {
         # voters, learners, gone: removable
         ("abc", "", "c"): None,
@@ -143,7 +168,7 @@
         ("abcdefghi", "", "efghi"): None,
     }
     for (voters, learners, gone), removable in cases.items():
-        assert find_removable_member(build(voters, learners), gone) == removable
+        assert find_removable_member(build_members(voters, learners), gone) == removable
 
 
 # Guards against a command that ends the service of the group.
