Give the time of the earliest free target where only some targets are limited

Cause: a request for which no target had room was refused as targets_limited, with the time to the next token, if any target named a limit, although others without one were only full and would be free sooner. Change: such a request is refused as no_room. Responses without signals, nearly all, are recognised by one comparison. Evidence: the new test failed before (targets_limited).

--- a/toucanwood/gateway/_dispatcher.py
+++ b/toucanwood/gateway/_dispatcher.py
@@ -10,6 +10,7 @@
 
 from toucanwood.fleet import FleetView, Target
 from toucanwood.placement import (
+    NO_SIGNALS,
     LoadReport,
     Outcome,
     Placed,
@@ -120,6 +121,8 @@
     def record_signals(self, lease: Lease, signals: ResponseSignals) -> None:
         """Record what a response says of its target, unless it has restarted since."""
         record = lease.record
+        if signals == NO_SIGNALS and record.signals.rate_limit is None:
+            return
         if record.target.start_time_ms != lease.start_time_ms:
             return
         now = asyncio.get_running_loop().time()
--- a/toucanwood/placement/_selector.py
+++ b/toucanwood/placement/_selector.py
@@ -207,7 +207,8 @@
     ) -> tuple[str, float] | None:
         """Return why targets take no request now and the seconds until one does.
 
-        None if no target that could take the request asks to wait or names a limit.
+        None if any target that could take the request neither asks to wait nor names a
+        limit.
         """
         delays = []
         for record in records:
@@ -219,6 +220,8 @@
                 delays.append((wait_s, "targets_waiting"))
             elif share is not None:
                 delays.append((share.get_delay(now), "targets_limited"))
+            else:
+                return None
         if not delays:
             return None
         delay, reason = min(delays)
--- a/toucanwood/placement/_signals.py
+++ b/toucanwood/placement/_signals.py
@@ -30,6 +30,9 @@
     wait_s: float = 0.0
 
 
+NO_SIGNALS = ResponseSignals()
+
+
 @attrs.frozen
 class SharedSignal:
     """What an entry has heard from one incarnation of a target.
--- a/toucanwood/placement/tests/test_signals.py
+++ b/toucanwood/placement/tests/test_signals.py
@@ -169,3 +169,15 @@
     assert 4 <= probes <= 5
     record.signals.record(ResponseSignals(is_leaving=True), 10.0)
     assert not pool.selector.take_probe(record, 20.0)
+
+
+# Guards against a long Retry-After although a target without a limit is only full.
+def test_refusal_of_full_targets_does_not_wait_for_limited_ones():
+    pool = build_pool("e-0", frozenset({"e-0"}), targets=2)
+    name_limit(pool, 0.1)
+    pool.records["t-1"].target = attrs.evolve(TARGET, id="t-1", slots=1)
+    request = build_request(0.0)
+    pool.start(pool.place(request, 0.0), request, 0.0)
+    refused = send(pool, 0.01)
+    assert refused.reason == "no_room"
+    assert refused.retry_after_s < 1.5
