--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -473,7 +473,9 @@
         revision = self.state.revision
         if revision and self._cached_table[0] != revision:
             try:
-                table = RoutingTable.from_config(self.state.document)
+                table = RoutingTable.from_config(
+                    self.state.document, previous=self._cached_table[1]
+                )
             except ValidationError as error:
                 log.error("routing_unreadable", revision=revision, error=str(error))
                 table = None
