Let the test of reused items draw a value that equals the valid one

Cause: the test used 0 for a flag that was True before. These are not equal, so the test passed with a comparison that takes 1 for True too; found by taking the guard out in a scratch copy. Change: the flag is 1. Result: the test passes on the code and fails with the weaker comparison.

--- a/toucanwood/routing/tests/test_table.py
+++ b/toucanwood/routing/tests/test_table.py
@@ -133,8 +133,8 @@
     assert new == RoutingTable.from_config(build_document(routes))
     assert new.routes["r-2"] is old.routes["r-2"]
     assert new.routes["r-1"].priority == 7
-    # A value of another type is invalid although it is equal.
-    document = build_document([build_route(sticky=0)])
+    # A value of another type is invalid although 1 equals True.
+    document = build_document([build_route(sticky=1)])
     try:
         RoutingTable.from_config(document, previous=old)
     except ValidationError as error:
