Move the way of an order to the leader into a class of its own

Cause: controller/_instance.py had 496 lines: the life cycle of a controller and the way of an order to the leader. Change: OrderSubmitter holds the second; the code is moved and its names follow.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -17,13 +17,16 @@
     AnnounceController,
     AnnounceEntry,
     FleetUpdate,
-    OrderAnswer,
     PollFleet,
     ReportUsage,
-    SubmitOrder,
     UsageAnswer,
     encode_payload,
 )
+from toucanwood.controller._order_submitter import (
+    OrderSubmitter,
+    describe_result,
+    refuse_for_now,
+)
 from toucanwood.controller._region_demand import RegionDemand
 from toucanwood.controller._settings import ControllerSettings
 from toucanwood.controller._shared_signals import SharedSignals
@@ -32,13 +35,10 @@
     FleetState,
     Order,
     OrderResult,
-    PatchRouting,
-    PutRouting,
     RemoveTarget,
     ReportTarget,
     Target,
     check_target,
-    pack_order,
 )
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork, PeerUnavailable
@@ -51,7 +51,7 @@
     find_program_start,
     run_periodically,
 )
-from toucanwood.verdicts import Execution, Verdict, build_uncertain_verdict, refuse
+from toucanwood.verdicts import Verdict
 
 log = structlog.get_logger()
 
@@ -60,15 +60,9 @@
 # its length and the number of polls grow with the number of entries.
 ENTRIES_CACHE_S = 0.1
 EXPIRY_INTERVAL_S = 1.0
-# Timeout for committing an order. Clients try another controller after a second without
-# an answer, so this has to be shorter.
-ORDER_TIMEOUT_S = 0.85
-# Time of the order timeout that is reserved for the round trip to the leader.
-FORWARD_MARGIN_S = 0.05
 # Maximum proven age of the state for a read to be answered. A new configuration must be
 # in force everywhere within seconds.
 MAX_READ_AGE_S = 0.8
-RETRY_AFTER_S = 0.3
 # Size of the random number that tells the versions of one process from others.
 MAX_EPOCH_BITS = 62
 # Fraction of the grace time of a stop in which relayed responses may finish.
@@ -117,6 +111,12 @@
             gone_after_s=settings.gone_after_s,
             now=self._now,
         )
+        self._orders = OrderSubmitter(
+            replica=self.replica,
+            network=self.network,
+            state=self.state,
+            metrics=self.metrics,
+        )
         self._register_handlers()
         self._known.add((*settings.controllers, *settings.founders))
 
@@ -166,21 +166,7 @@
 
         A failed result states whether the order may have been committed.
         """
-        started = self._now()
-        result = await self._submit(pack_order(order))
-        self.metrics.count_event(type(order).__name__, _describe(result))
-        if isinstance(order, PutRouting | PatchRouting):
-            log.info(
-                "routing_submitted",
-                revision=order.revision,
-                base=order.base_revision,
-                result=_describe(result),
-                status=str(result.map(lambda item: item.status.value).value_or("")),
-                leader=self.replica.leader() or "",
-                version=self.state.version,
-                seconds=round(self._now() - started, 3),
-            )
-        return result
+        return await self._orders.submit(order)
 
     def read_routing(self) -> Result[tuple[int, dict[str, Any]], Verdict]:
         """Return the current revision and routing document, if provably current."""
@@ -189,7 +175,7 @@
         self.metrics.count_event("ReadRouting", "proven" if is_proven else "stale")
         if not is_proven:
             message = f"the state was last confirmed as current {age:.1f} s ago"
-            return Failure(_refuse("state_stale", message))
+            return Failure(refuse_for_now("state_stale", message))
         return Success((self.state.revision, self.state.document))
 
     def describe_group(self) -> list[dict[str, Any]]:
@@ -229,7 +215,7 @@
             cold_left_s=target.remaining_cold_start_s,
             born_ms=target.start_time_ms,
             sequence=target.sequence,
-            result=_describe(result),
+            result=describe_result(result),
         )
         return result.map(lambda _: None)
 
@@ -243,7 +229,7 @@
         ):
             return Success(None)
         result = await self.submit(RemoveTarget(target_id, start_time_ms, None))
-        log.info("target_left", target=target_id, result=_describe(result))
+        log.info("target_left", target=target_id, result=describe_result(result))
         return result.map(lambda _: None)
 
     def look_up(self, region: str, data_centre: str) -> list[str]:
@@ -278,14 +264,6 @@
         except OSError as error:
             log.error("relay_unavailable", address=address, error=str(error))
 
-    async def _submit(self, data: bytes) -> Result[OrderResult, Verdict]:
-        if self.replica.is_leader():
-            return await self._propose(data, ORDER_TIMEOUT_S)
-        leader = self.replica.leader()
-        if leader is None or leader == self.settings.id:
-            return Failure(_refuse("no_leader", "this controller knows no leader"))
-        return await self._forward(leader, data)
-
     def _read_gauges(self) -> dict[str, float]:
         return {
             "leading": float(self.replica.is_leader()),
@@ -304,7 +282,6 @@
         register(PollFleet, self._answer_poll)
         register(ReportUsage, self._process_usage_report)
         register(AnnounceController, self._receive_controller)
-        register(SubmitOrder, self._answer_order)
 
     async def _receive_entry(self, sender: str, request: AnnounceEntry) -> None:
         entry = EntryInfo(
@@ -387,37 +364,6 @@
         self._known.add(request.controllers)
         self._liveness.merge_shared(request.heard, now)
 
-    async def _answer_order(self, sender: str, request: SubmitOrder) -> OrderAnswer:
-        if not self.replica.is_leader():
-            return OrderAnswer(is_not_run=True)
-        result = await self._propose(request.order, ORDER_TIMEOUT_S - FORWARD_MARGIN_S)
-        if isinstance(result, Success):
-            return OrderAnswer(result=result.unwrap().to_wire())
-        return OrderAnswer(is_not_run=result.failure().is_not_run)
-
-    async def _propose(
-        self, data: bytes, timeout: float
-    ) -> Result[OrderResult, Verdict]:
-        return await self.replica.propose(data, timeout=timeout)
-
-    async def _forward(self, leader: str, data: bytes) -> Result[OrderResult, Verdict]:
-        try:
-            answer = await self.network.call(
-                leader, SubmitOrder(data), timeout=ORDER_TIMEOUT_S
-            )
-        except PeerUnavailable as error:
-            if error.execution is Execution.NOT_RUN:
-                return Failure(_refuse("leader_unreachable", str(error)))
-            return Failure(
-                build_uncertain_verdict("commit_unknown", str(error), status=504)
-            )
-        if isinstance(answer, OrderAnswer) and answer.result is not None:
-            return Success(OrderResult.from_wire(answer.result))
-        if isinstance(answer, OrderAnswer) and answer.is_not_run:
-            return Failure(_refuse("no_leader", f"{leader} is not the leader"))
-        message = f"{leader} did not commit the order in time"
-        return Failure(build_uncertain_verdict("commit_unknown", message, status=504))
-
     async def _gossip(self) -> None:
         """Send the known controllers and recent announcements to all others."""
         message = AnnounceController(
@@ -484,13 +430,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _refuse(code: str, message: str) -> Verdict:
-    return refuse(code, message, status=503, retry_after=RETRY_AFTER_S)
-
-
-def _describe(result: Result[Any, Verdict]) -> str:
-    if isinstance(result, Success):
-        return "committed"
-    return str(result.failure().code)
