--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,6 +23,8 @@
 # How long a restarted core may take before the next one is stopped.
 RETURN_S = 4.0
 READ_S = 6.0
+# `config_apply_ms`: a read that is sent earlier may be answered with an older version.
+CONFIG_S = 2.0
 
 
 async def play(fleet, record):
@@ -37,6 +39,7 @@
             raise case.CaseError("a process exceeded its memory before the restart")
         if case.has_trouble():
             await restart_cores(fleet, nodes, record)
+        await asyncio.sleep(CONFIG_S + 0.1)
         read = await read_back(nodes, record)
     finally:
         watch.cancel()
