Compact the log by its size, and read and rewrite it in parts

Cause: the log was compacted by its entries alone (1,000). One entry holds a whole configuration, up to 1 MiB, so the log of 560 changes held 146 MB, in memory and on the disk. A start read the file as a whole and held it beside the entries decoded from it: twice the log. A rewrite of the log encoded all of it at once as well.

The log is read through a window of 1 MiB and rewritten in batches of 1 MiB in the thread of the disk, so a start needs one copy of the entries. `Log.get` raises IndexError outside the log (a negative position returned an entry from the end).

--- a/toucanwood/consensus/_disk.py
+++ b/toucanwood/consensus/_disk.py
@@ -27,8 +27,11 @@
     def names(self) -> list[str]:
         """Return the names of all files."""
 
-    def read(self, name: str) -> bytes:
-        """Return the content of a file."""
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
+
+    def read(self, name: str, offset: int = 0, size: int = -1) -> bytes:
+        """Return up to `size` bytes of a file from `offset` on; -1 means all."""
 
     def create(self, name: str) -> None:
         """Create an empty file, or empty an existing one."""
@@ -81,9 +84,15 @@
         """Return the names of all files."""
         return sorted(path.name for path in self._directory.iterdir())
 
-    def read(self, name: str) -> bytes:
-        """Return the content of a file."""
-        return (self._directory / name).read_bytes()
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
+        return (self._directory / name).stat().st_size
+
+    def read(self, name: str, offset: int = 0, size: int = -1) -> bytes:
+        """Return up to `size` bytes of a file from `offset` on; -1 means all."""
+        with open(self._directory / name, "rb") as file:
+            file.seek(offset)
+            return file.read(size)
 
     def create(self, name: str) -> None:
         """Create an empty file, or empty an existing one."""
--- a/toucanwood/consensus/_log.py
+++ b/toucanwood/consensus/_log.py
@@ -33,6 +33,9 @@
         self.base_index = base_index
         self.base_term = base_term
         self.entries: list[Entry] = []
+        # For each entry the bytes of data up to its end, counted from any origin.
+        self._ends: list[int] = []
+        self._base_end = 0
 
     @property
     def last_index(self) -> int:
@@ -53,9 +56,21 @@
         return self.entries[index - self.base_index - 1].term
 
     def get(self, index: int) -> Entry:
-        """Return one entry."""
+        """Return one entry; raise IndexError for an index outside the log."""
+        if not self.base_index < index <= self.last_index:
+            raise IndexError(
+                f"index must be in [{self.base_index + 1}, {self.last_index}], "
+                f"got {index}"
+            )
         return self.entries[index - self.base_index - 1]
 
+    def count_bytes(self, first: int, last: int) -> int:
+        """Return the bytes of data in the entries from `first` to `last`.
+
+        Indexes outside the log count as the nearest one inside.
+        """
+        return max(self._end_at(last) - self._end_at(first - 1), 0)
+
     def read_batch(self, first: int, max_bytes: int) -> list[Entry]:
         """Return the entries from `first` on, up to `max_bytes` of data.
 
@@ -75,6 +90,7 @@
         """Add an entry at the end."""
         if entry.index != self.last_index + 1:
             raise ValueError(f"index must be {self.last_index + 1}, got {entry.index}")
+        self._ends.append(self._end_at(self.last_index) + len(entry.data))
         self.entries.append(entry)
 
     def truncate_from(self, index: int) -> None:
@@ -82,19 +98,24 @@
         if index <= self.base_index:
             raise ValueError(f"index must be above {self.base_index}, got {index}")
         del self.entries[index - self.base_index - 1 :]
+        del self._ends[index - self.base_index - 1 :]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to and including `index`, which must be in the log."""
         term = self.term_at(index)
         if term is None:
             raise ValueError(f"index must be in the log, got {index}")
+        self._base_end = self._end_at(index)
         del self.entries[: index - self.base_index]
+        del self._ends[: index - self.base_index]
         self.base_index = index
         self.base_term = term
 
     def reset(self, index: int, term: int) -> None:
         """Remove every entry and set another base index and term."""
         self.entries.clear()
+        self._ends.clear()
+        self._base_end = 0
         self.base_index = index
         self.base_term = term
 
@@ -110,3 +131,7 @@
         while index > self.base_index and self.term_at(index) == term:
             index -= 1
         return index
+
+    def _end_at(self, index: int) -> int:
+        position = min(index, self.last_index) - self.base_index - 1
+        return self._ends[position] if position >= 0 else self._base_end
--- a/toucanwood/consensus/_records.py
+++ b/toucanwood/consensus/_records.py
@@ -2,6 +2,7 @@
 
 import struct
 import zlib
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -11,6 +12,8 @@
 _LENGTHS = struct.Struct(">IQ")
 _CHECKSUM = struct.Struct(">I")
 _HEADER_BYTES = len(_MAGIC) + _LENGTHS.size + _CHECKSUM.size
+# Part of a file that is held in memory while its records are read.
+_WINDOW_BYTES = 1024 * 1024
 
 
 class StorageError(Exception):
@@ -28,6 +31,79 @@
     end: int
 
 
+class RecordFile:
+    """The records of a file, read in parts that don't depend on its size.
+
+    `read` returns the bytes at an offset, up to a number, and fewer only at the end of
+    the file.
+    """
+
+    def __init__(self, read: Callable[[int, int], bytes], size: int, name: str) -> None:
+        self.size = size
+        # Length of the valid part, once `iterate` has ended.
+        self.valid_bytes = 0
+        self._read = read
+        self._name = name
+        self._window = b""
+        self._window_offset = 0
+
+    def iterate(self) -> Iterator[Any]:
+        """Return the contents of the records in the valid part of the file.
+
+        Raises DamagedStorageError if an invalid record had been synced, which is known
+        from the `synced` length of another record. Damage in the last write cannot be
+        told from a torn write and is treated as one.
+        """
+        offset = synced = 0
+        while (record := self._read_record(offset)) is not None:
+            yield record.content
+            offset = record.end
+            synced = max(synced, record.synced)
+        if offset < synced:
+            raise DamagedStorageError(
+                f"file {self._name} is damaged at byte {offset}: "
+                f"{synced} bytes had been synced"
+            )
+        self._check_torn_tail(offset)
+        self.valid_bytes = offset
+
+    def _get(self, offset: int, size: int) -> bytes:
+        start = offset - self._window_offset
+        if start < 0 or start + size > len(self._window):
+            self._window = self._read(offset, max(size, _WINDOW_BYTES))
+            self._window_offset, start = offset, 0
+        return self._window[start : start + size]
+
+    def _read_record(self, offset: int) -> _Record | None:
+        head = self._get(offset, _HEADER_BYTES)
+        size = _read_body_size(head)
+        if size is None or offset + _HEADER_BYTES + size > self.size:
+            return None
+        return _read_record_at(self._get(offset, _HEADER_BYTES + size), offset)
+
+    def _check_torn_tail(self, offset: int) -> None:
+        """Raise if a later record proves that the invalid record had been synced."""
+        position = self._find_magic(offset + 1)
+        while position is not None:
+            later = self._read_record(position)
+            if later is not None and later.synced > offset:
+                raise DamagedStorageError(
+                    f"file {self._name} is damaged at byte {offset}: "
+                    f"the record had been synced before the record at byte {position}"
+                )
+            position = self._find_magic(position + 1)
+
+    def _find_magic(self, offset: int) -> int | None:
+        while offset < self.size:
+            part = self._get(offset, min(_WINDOW_BYTES, self.size - offset))
+            found = part.find(_MAGIC)
+            if found >= 0:
+                return offset + found
+            # The last byte may be the first one of the next magic number.
+            offset += max(len(part) - 1, 1)
+        return None
+
+
 def pack_record(content: Any, *, synced: int = 0) -> bytes:
     """Encode a record; `synced` is the file length known to be durable before it."""
     body = msgpack.packb(content)
@@ -36,31 +112,21 @@
     return b"".join((_MAGIC, lengths, _CHECKSUM.pack(checksum), body))
 
 
-def read_records(data: bytes, name: str) -> tuple[list[Any], int]:
-    """Return the records of a file and the length of its valid part.
+def pack_batches(
+    contents: Callable[[], Iterator[Any]], max_bytes: int
+) -> Iterator[bytes]:
+    """Encode the records of a file that is synced as a whole before its first use.
 
-    Raises DamagedStorageError if an invalid record had been synced, which is known from
-    the `synced` length of another record. Damage in the last write cannot be told from
-    a torn write and is treated as one.
+    `contents` is called twice. A batch exceeds `max_bytes` by at most one record.
     """
-    records = []
-    offset = synced = 0
-    while (record := _read_record_at(data, offset)) is not None:
-        records.append(record.content)
-        offset = record.end
-        synced = max(synced, record.synced)
-    if offset < synced:
-        raise DamagedStorageError(
-            f"file {name} is damaged at byte {offset}: {synced} bytes had been synced"
-        )
-    _check_torn_tail(data, offset, name)
-    return records, offset
-
-
-def pack_records(contents: list[Any]) -> bytes:
-    """Encode the records of a file that is synced as a whole before its first use."""
-    size = sum(len(pack_record(content)) for content in contents)
-    return b"".join(pack_record(content, synced=size) for content in contents)
+    size = sum(_HEADER_BYTES + len(msgpack.packb(content)) for content in contents())
+    batch = bytearray()
+    for content in contents():
+        batch += pack_record(content, synced=size)
+        if len(batch) >= max_bytes:
+            yield bytes(batch)
+            batch.clear()
+    yield bytes(batch)
 
 
 def read_single_record(data: bytes, name: str) -> Any:
@@ -71,29 +137,23 @@
     return record.content
 
 
-def _read_record_at(data: bytes, offset: int) -> _Record | None:
-    start = offset + _HEADER_BYTES
-    if start > len(data) or data[offset : offset + len(_MAGIC)] != _MAGIC:
+def _read_body_size(head: bytes) -> int | None:
+    if len(head) < _HEADER_BYTES or not head.startswith(_MAGIC):
         return None
-    lengths = data[offset + len(_MAGIC) : start - _CHECKSUM.size]
-    size, synced = _LENGTHS.unpack(lengths)
-    if start + size > len(data):
+    size, _ = _LENGTHS.unpack_from(head, len(_MAGIC))
+    return int(size)
+
+
+def _read_record_at(data: bytes, offset: int) -> _Record | None:
+    """Decode the record at the start of `data`, which stands at `offset` of a file."""
+    size = _read_body_size(data[:_HEADER_BYTES])
+    if size is None or _HEADER_BYTES + size > len(data):
         return None
-    body = data[start : start + size]
-    (checksum,) = _CHECKSUM.unpack(data[start - _CHECKSUM.size : start])
+    lengths = data[len(_MAGIC) : len(_MAGIC) + _LENGTHS.size]
+    _, synced = _LENGTHS.unpack(lengths)
+    (checksum,) = _CHECKSUM.unpack_from(data, len(_MAGIC) + _LENGTHS.size)
+    body = memoryview(data)[_HEADER_BYTES : _HEADER_BYTES + size]
     if zlib.crc32(body, zlib.crc32(lengths)) != checksum:
         return None
-    return _Record(msgpack.unpackb(body, strict_map_key=False), synced, start + size)
-
-
-def _check_torn_tail(data: bytes, offset: int, name: str) -> None:
-    """Raise if a later record proves that the invalid record had been synced."""
-    position = data.find(_MAGIC, offset + 1)
-    while position >= 0:
-        later = _read_record_at(data, position)
-        if later is not None and later.synced > offset:
-            raise DamagedStorageError(
-                f"file {name} is damaged at byte {offset}: "
-                f"the record had been synced before the record at byte {position}"
-            )
-        position = data.find(_MAGIC, position + 1)
+    content = msgpack.unpackb(body, strict_map_key=False)
+    return _Record(content, synced, offset + _HEADER_BYTES + size)
--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -29,6 +29,9 @@
 # of 16 MiB.
 MAX_COMMAND_BYTES = 1024 * 1024
 MAX_PENDING_PROPOSALS = 10_000
+# Data of applied entries after which a snapshot is stored. A start reads these entries,
+# and they stay in memory and on the disk until then.
+SNAPSHOT_BYTES = 16 * 1024 * 1024
 SNAPSHOT_CHECK_INTERVAL_S = 0.1
 
 
@@ -49,11 +52,13 @@
         state_machine: StateMachine,
         voters: Iterable[str],
         snapshot_entries: int = 1000,
+        snapshot_bytes: int = SNAPSHOT_BYTES,
         keep_entries: int = 500,
         seed: int | None = None,
         started_at: float = math.inf,
     ) -> None:
         check_range("snapshot_entries", snapshot_entries, low=1)
+        check_range("snapshot_bytes", snapshot_bytes, low=1)
         check_range("keep_entries", keep_entries, low=0)
         self._core = RaftCore(transport, storage, state_machine, started_at)
         self._leadership = Leadership(self._core)
@@ -68,6 +73,7 @@
         self._formation = GroupFormation(self._core, list(voters))
         self._freshness = FreshnessTracker(self._core, self._leadership)
         self._snapshot_entries = snapshot_entries
+        self._snapshot_bytes = snapshot_bytes
         self._keep_entries = keep_entries
 
     async def start(self) -> None:
@@ -191,12 +197,17 @@
         }
 
     async def _compact(self) -> None:
-        """Store a snapshot after every `snapshot_entries` applied entries."""
+        """Store a snapshot when enough entries, or bytes of them, were applied."""
         core = self._core
         while not core.is_closed:
             await asyncio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
-            new_entries = core.applied_index - core.storage.snapshot_index
-            if new_entries < self._snapshot_entries:
+            covered = core.storage.snapshot_index
+            new_entries = core.applied_index - covered
+            new_bytes = core.storage.log.count_bytes(covered + 1, core.applied_index)
+            if (
+                new_entries < self._snapshot_entries
+                and new_bytes < self._snapshot_bytes
+            ):
                 continue
             try:
                 await self._save_snapshot()
--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any, TypeVar
 
 import attrs
@@ -13,10 +13,10 @@
 from toucanwood.consensus._members import Members
 from toucanwood.consensus._records import (
     DamagedStorageError,
+    RecordFile,
     StorageError,
+    pack_batches,
     pack_record,
-    pack_records,
-    read_records,
     read_single_record,
 )
 
@@ -27,6 +27,11 @@
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
 TEMPORARY_SUFFIX = ".tmp"
+# Data of the entries up to a snapshot that stay in the log for followers that are
+# behind. A follower that is further behind receives the snapshot.
+KEEP_BYTES = 8 * 1024 * 1024
+# Part of a rewritten log that is encoded and written at once.
+WRITE_BATCH_BYTES = 1024 * 1024
 
 # Kinds of records in the log file, stored as the first field of a record.
 _BASE_RECORD = 0
@@ -113,12 +118,17 @@
                 self._flush_task = asyncio.create_task(self._flush())
             await asyncio.shield(self._flush_task)
 
-    async def save_snapshot(self, snapshot: Snapshot, *, keep_entries: int) -> None:
+    async def save_snapshot(
+        self, snapshot: Snapshot, *, keep_entries: int, keep_bytes: int = KEEP_BYTES
+    ) -> None:
         """Store a snapshot and remove the log entries up to it.
 
-        The last `keep_entries` entries up to the snapshot stay in the log.
+        The last `keep_entries` entries up to the snapshot stay in the log, or fewer if
+        their data exceeds `keep_bytes`.
         """
-        await self._run_shielded(self._save_snapshot(snapshot, keep_entries))
+        await self._run_shielded(
+            self._save_snapshot(snapshot, keep_entries, keep_bytes)
+        )
 
     async def read_snapshot(self) -> Snapshot:
         """Return the stored snapshot."""
@@ -132,26 +142,32 @@
 
     async def _save_state(self, state: HardState) -> None:
         async with self._state_lock:
-            await self._replace_file(STATE_FILE, pack_record(attrs.astuple(state)))
+            await self._replace_file(STATE_FILE, [pack_record(attrs.astuple(state))])
             self.state = state
 
-    async def _save_snapshot(self, snapshot: Snapshot, keep_entries: int) -> None:
+    async def _save_snapshot(
+        self, snapshot: Snapshot, keep_entries: int, keep_bytes: int
+    ) -> None:
         async with self._snapshot_lock:
             if snapshot.index < self.snapshot_index:
                 return
             members = snapshot.members.pack()
             content = [snapshot.index, snapshot.term, members, snapshot.data]
-            await self._replace_file(SNAPSHOT_FILE, pack_record(content))
+            await self._replace_file(SNAPSHOT_FILE, [pack_record(content)])
             self.snapshot_index = snapshot.index
             self.snapshot_members = snapshot.members
             async with self._log_lock:
-                self._compact_log(snapshot, keep_entries)
+                self._compact_log(snapshot, keep_entries, keep_bytes)
                 await self._rewrite_log()
 
-    def _compact_log(self, snapshot: Snapshot, keep_entries: int) -> None:
+    def _compact_log(
+        self, snapshot: Snapshot, keep_entries: int, keep_bytes: int
+    ) -> None:
         if self.log.term_at(snapshot.index) == snapshot.term:
-            first = max(snapshot.index - keep_entries, self.log.base_index)
-            self.log.compact(first)
+            base = max(snapshot.index - keep_entries, self.log.base_index)
+            while self.log.count_bytes(base + 1, snapshot.index) > keep_bytes:
+                base += 1
+            self.log.compact(base)
         elif snapshot.index > self.log.base_index:
             self.log.reset(snapshot.index, snapshot.term)
 
@@ -160,13 +176,24 @@
         self._unwritten_records.clear()
         target = self._appended_records
         last_index = self.log.last_index
-        records: list[list[Any]] = [
-            [_BASE_RECORD, self.log.base_index, self.log.base_term]
-        ]
-        records += [[_ENTRY_RECORD, *entry.pack()] for entry in self.log.entries]
-        data = pack_records(records)
-        await self._replace_file(LOG_FILE, data)
-        self._log_bytes = len(data)
+        base = [_BASE_RECORD, self.log.base_index, self.log.base_term]
+        # Entries that follow while the file is written are not part of it.
+        entries = list(self.log.entries)
+        written_bytes = 0
+
+        def iterate_records() -> Iterator[list[Any]]:
+            yield base
+            for entry in entries:
+                yield [_ENTRY_RECORD, *entry.pack()]
+
+        def encode() -> Iterator[bytes]:
+            nonlocal written_bytes
+            for batch in pack_batches(iterate_records, WRITE_BATCH_BYTES):
+                written_bytes += len(batch)
+                yield batch
+
+        await self._replace_file(LOG_FILE, encode())
+        self._log_bytes = written_bytes
         self._record_sync(target, last_index)
 
     def _add_record(self, record: list[Any]) -> None:
@@ -210,12 +237,13 @@
         ]
         self.synced_index = min([last_index, *truncations])
 
-    async def _replace_file(self, name: str, data: bytes) -> None:
+    async def _replace_file(self, name: str, batches: Iterable[bytes]) -> None:
         temporary = name + TEMPORARY_SUFFIX
 
         def write() -> None:
             self._disk.create(temporary)
-            self._disk.append(temporary, data)
+            for batch in batches:
+                self._disk.append(temporary, batch)
             self._disk.sync(temporary)
             self._disk.rename(temporary, name)
             self._disk.sync_directory()
@@ -227,8 +255,10 @@
         if SNAPSHOT_FILE in names:
             raise DamagedStorageError(f"file {STATE_FILE} is missing")
         if LOG_FILE in names:
-            data = await self._run_on_disk(lambda: self._disk.read(LOG_FILE))
-            if len(read_records(data, LOG_FILE)[0]) > 1:
+            records = await self._run_on_disk(
+                lambda: sum(1 for _ in self._open_log().iterate())
+            )
+            if records > 1:
                 raise DamagedStorageError(f"file {STATE_FILE} is missing")
         await self._rewrite_log()
         await self.save_state(HardState(0, None, uuid.uuid4().hex))
@@ -248,18 +278,31 @@
         return snapshot
 
     async def _load_log(self) -> None:
-        data = await self._run_on_disk(lambda: self._disk.read(LOG_FILE))
-        records, size = read_records(data, LOG_FILE)
-        if size < len(data):
-            log.warning("log_tail_truncated", bytes=len(data) - size)
-            await self._run_on_disk(lambda: self._truncate_file(size))
-        if not records or records[0][0] != _BASE_RECORD:
+        file = await self._run_on_disk(self._replay_log)
+        if file.valid_bytes < file.size:
+            log.warning("log_tail_truncated", bytes=file.size - file.valid_bytes)
+            await self._run_on_disk(lambda: self._truncate_file(file.valid_bytes))
+        self._log_bytes = file.valid_bytes
+        self.synced_index = self.log.last_index
+
+    def _open_log(self) -> RecordFile:
+        return RecordFile(
+            lambda offset, size: self._disk.read(LOG_FILE, offset, size),
+            self._disk.size(LOG_FILE),
+            LOG_FILE,
+        )
+
+    def _replay_log(self) -> RecordFile:
+        """Load the entries while the file is read, so that it isn't held as well."""
+        file = self._open_log()
+        records = file.iterate()
+        base = next(records, None)
+        if base is None or base[0] != _BASE_RECORD:
             raise DamagedStorageError(f"file {LOG_FILE} has no base record")
-        self._log_bytes = size
-        self.log.reset(records[0][1], records[0][2])
-        for record in records[1:]:
+        self.log.reset(base[1], base[2])
+        for record in records:
             self._replay(record)
-        self.synced_index = self.log.last_index
+        return file
 
     def _truncate_file(self, size: int) -> None:
         self._disk.truncate(LOG_FILE, size)
--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -113,10 +113,16 @@
         self._check_not_crashed()
         return sorted(self._files)
 
-    def read(self, name: str) -> bytes:
-        """Return the content of a file."""
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
         self._check_not_crashed()
-        return self._files[name].content
+        return len(self._files[name].content)
+
+    def read(self, name: str, offset: int = 0, size: int = -1) -> bytes:
+        """Return up to `size` bytes of a file from `offset` on; -1 means all."""
+        self._check_not_crashed()
+        end = None if size < 0 else offset + size
+        return self._files[name].content[offset:end]
 
     def create(self, name: str) -> None:
         """Create an empty file, or empty an existing one."""
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -19,6 +19,8 @@
 )
 from toucanwood.peering.testing import LinkFaults
 
+MIB = 1024 * 1024
+
 
 @on_cluster("abc")
 async def test_three_replicas_form_a_group_and_apply_commands(cluster):
@@ -233,3 +235,18 @@
         )
         await get_core(cluster, sender).transport.call(follower, request, timeout=1.0)
     assert cluster.state_machines[follower].commands == {40: bytes(100)}
+
+
+@on_cluster("abc", snapshot_entries=1000, keep_entries=500)
+async def test_log_of_large_commands_is_compacted_by_its_size(cluster):
+    # Guards against a log of a few hundred configurations that exceeds the memory and
+    # the disk of a controller, because only its entries are counted.
+    for number in range(160):
+        await cluster.propose(b"%d " % number + bytes(256 * 1024))
+        for key in cluster.ids:
+            entries = get_core(cluster, key).storage.log.entries
+            assert sum(len(entry.data) for entry in entries) < 32 * MIB
+            assert cluster.disks[key].size("log") < 64 * MIB
+    follower = other_ids(cluster, await cluster.wait_for_leader())[0]
+    await cluster.restart(follower)
+    await cluster.wait_for_convergence()
--- a/toucanwood/consensus/tests/test_storage.py
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import tempfile
+import tracemalloc
 
 import attrs
 
@@ -270,3 +271,53 @@
     assert storage.synced_index == 2
     await storage.sync()
     assert storage.synced_index == 3
+
+
+MIB = 1024 * 1024
+
+
+def test_start_and_rewrite_of_a_large_log_need_no_second_copy_of_it():
+    # Guards against a controller that runs within its memory limit and exceeds it at
+    # each start, because it holds the log file beside its entries.
+    async def main(directory):
+        storage, _ = await open_storage(FileDisk(directory))
+        for index in range(1, 41):
+            storage.append(Entry(index, 1, 0, bytes([index]) * MIB))
+            await storage.sync()
+        await storage.close()
+        del storage
+        tracemalloc.start()
+        reopened, _ = await open_storage(FileDisk(directory))
+        assert reopened.log.last_index == 40
+        assert tracemalloc.get_traced_memory()[1] < 48 * MIB
+        tracemalloc.reset_peak()
+        snapshot = Snapshot(20, 1, MEMBERS, b"state")
+        await reopened.save_snapshot(snapshot, keep_entries=20)
+        assert tracemalloc.get_traced_memory()[1] < 48 * MIB
+        await reopened.close()
+
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            asyncio.run(main(directory))
+        finally:
+            tracemalloc.stop()
+
+
+@in_virtual_time
+async def test_torn_tail_longer_than_one_read_is_truncated():
+    # Guards against a search for later records that ends where a read ends.
+    for padding in (MIB - 1, MIB, MIB + 1, 3 * MIB):
+        disk = FakeDisk(1)
+        storage, _ = await open_storage(disk)
+        await append_synced(storage, 1, 2)
+        size = disk.size("log")
+        disk.append("log", b"\xd7" * padding + b"W" + b"x" * 40)
+        reopened, _ = await open_storage(disk)
+        assert reopened.log.last_index == 2
+        assert disk.size("log") == size
+        await append_synced(reopened, 3, 3)
+        await append_synced(reopened, 4, 4)
+        whole = disk.read("log")
+        disk.truncate("log", size)
+        disk.append("log", b"\xd7" * padding + whole[size:])
+        await expect_damage(disk, f"file log is damaged at byte {size}")
