--- a/toucanwood/consensus/_replica.py
+++ b/toucanwood/consensus/_replica.py
@@ -29,6 +29,9 @@
 # of 16 MiB.
 MAX_COMMAND_BYTES = 1024 * 1024
 MAX_PENDING_PROPOSALS = 10_000
+# Data of entries that aren't committed, above which proposals are refused. Entries
+# accumulate while a majority doesn't sync.
+MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 # Data of applied entries after which a snapshot is stored. A start reads these entries,
 # and they stay in memory and on the disk until then.
 SNAPSHOT_BYTES = 16 * 1024 * 1024
@@ -121,8 +124,14 @@
             return Failure(self._refuse_not_leader())
         if len(self._core.pending) >= MAX_PENDING_PROPOSALS:
             message = f"{MAX_PENDING_PROPOSALS} proposals are already pending"
-            verdict = refuse("overloaded", message, status=503, retry_after=1.0)
-            return Failure(verdict)
+            return Failure(_refuse_overloaded(message))
+        entries = self._core.storage.log
+        uncommitted = entries.count_bytes(
+            self._core.commit_index + 1, entries.last_index
+        )
+        if uncommitted + len(command) > MAX_UNCOMMITTED_BYTES:
+            message = f"{uncommitted} bytes of commands are not committed yet"
+            return Failure(_refuse_overloaded(message))
         return await submit_entry(
             self._core,
             self._leadership,
@@ -232,3 +241,7 @@
         return refuse(
             "not_leader", message, status=503, retry_after=MAX_ELECTION_TIMEOUT_S
         )
+
+
+def _refuse_overloaded(message: str) -> Verdict:
+    return refuse("overloaded", message, status=503, retry_after=1.0)
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -250,3 +250,24 @@
     follower = other_ids(cluster, await cluster.wait_for_leader())[0]
     await cluster.restart(follower)
     await cluster.wait_for_convergence()
+
+
+@on_cluster("abc")
+async def test_leader_without_a_synced_majority_refuses_proposals_by_their_size(
+    cluster,
+):
+    # Guards against a leader whose memory fills with entries while the disks of the
+    # others stall.
+    leader = await cluster.wait_for_leader()
+    for key in other_ids(cluster, leader):
+        cluster.disks[key].max_delay = 60.0
+    results = await asyncio.gather(
+        *(
+            cluster.propose_once(leader, b"%d " % number + bytes(MIB - 8), timeout=0.2)
+            for number in range(64)
+        )
+    )
+    codes = [result.failure().code for result in results]
+    assert codes.count("overloaded") >= 64 - 16
+    entries = get_core(cluster, leader).storage.log.entries
+    assert sum(len(entry.data) for entry in entries) <= 17 * MIB
