Bound the kept changes of the fleet state by their size

A change that names every route of a large configuration has the size of the configuration, so a few hundred of them exceed the memory of a controller.

Changes are kept encoded, up to 4 MiB; an instance that is further behind receives the full state, as before.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -20,6 +20,7 @@
     PollFleet,
     ReportUsage,
     UsageAnswer,
+    compress_payload,
     encode_payload,
 )
 from toucanwood.controller._order_submitter import (
@@ -337,9 +338,9 @@
         """
         if version >= self.state.version:
             return None, None
-        changes = self.state.list_changes(version)
+        changes = self.state.pack_changes(version)
         if changes is not None:
-            return encode_payload(changes), None
+            return compress_payload(changes), None
         return None, encode_payload(self.state.export())
 
     async def _process_usage_report(
--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -139,7 +139,12 @@
 
 def encode_payload(content: list[Any]) -> bytes:
     """Encode a list of changes or a full state for `FleetUpdate`."""
-    return zlib.compress(msgpack.packb(content), COMPRESSION_LEVEL)
+    return compress_payload(msgpack.packb(content))
+
+
+def compress_payload(data: bytes) -> bytes:
+    """Return the payload for a list that is encoded with msgpack."""
+    return zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decode_payload(data: bytes) -> list[Any]:
--- a/toucanwood/fleet/_state.py
+++ b/toucanwood/fleet/_state.py
@@ -32,6 +32,9 @@
 # Maximum number of changes kept for updates. Instances that are further behind receive
 # the full state.
 MAX_KEPT_CHANGES = 2000
+# Limit of the encoded size of these changes; a change of every route of a large
+# document has about the size of the document.
+MAX_KEPT_CHANGE_BYTES = 4 * 1024 * 1024
 
 
 @attrs.define
@@ -49,9 +52,9 @@
     # The start time and last sequence number of targets that have left, by id.
     departed: "OrderedDict[str, tuple[int, int]]" = attrs.field(factory=OrderedDict)
     _accepted: "OrderedDict[bytes, int]" = attrs.field(factory=OrderedDict)
-    _changes: deque[tuple[int, Change]] = attrs.field(
-        factory=lambda: deque(maxlen=MAX_KEPT_CHANGES)
-    )
+    # The log index and the encoded form of each change.
+    _changes: deque[tuple[int, bytes]] = attrs.field(factory=deque)
+    _changes_bytes: int = 0
     _oldest_version: int = 0
     # The table of the document, or of an earlier one after `restore`.
     _table: RoutingTable | None = None
@@ -155,6 +158,7 @@
         )
         self._accepted = OrderedDict((key, value) for key, value in accepted)
         self._changes.clear()
+        self._changes_bytes = 0
         self._oldest_version = version
 
     def export(self) -> list[Any]:
@@ -166,11 +170,17 @@
             [target.to_wire() for target in self.targets.values()],
         ]
 
-    def list_changes(self, version: int) -> list[Any] | None:
-        """Return the changes after a version, or None if they are no longer kept."""
+    def pack_changes(self, version: int) -> bytes | None:
+        """Return the changes after a version as a msgpack list.
+
+        None if they are no longer kept.
+        """
         if version < self._oldest_version or version > self.version:
             return None
-        return [item.to_wire() for index, item in self._changes if index > version]
+        changes = [item for index, item in self._changes if index > version]
+        return bytes(msgpack.Packer().pack_array_header(len(changes))) + b"".join(
+            changes
+        )
 
     def _replace_routing(
         self, order: PutRouting | PatchRouting, document: dict[str, Any]
@@ -228,9 +238,15 @@
             self.departed.popitem(last=False)
 
     def _record_change(self, change: Change) -> None:
-        if len(self._changes) == MAX_KEPT_CHANGES:
-            self._oldest_version = self._changes[0][0]
-        self._changes.append((self.version, change))
+        encoded = msgpack.packb(change.to_wire())
+        self._changes.append((self.version, encoded))
+        self._changes_bytes += len(encoded)
+        while (
+            len(self._changes) > MAX_KEPT_CHANGES
+            or self._changes_bytes > MAX_KEPT_CHANGE_BYTES
+        ):
+            self._oldest_version, removed = self._changes.popleft()
+            self._changes_bytes -= len(removed)
 
     def _accept(self) -> OrderResult:
         return OrderResult(OrderStatus.ACCEPTED, self.revision)
--- a/toucanwood/fleet/tests/test_state.py
+++ b/toucanwood/fleet/tests/test_state.py
@@ -1,6 +1,7 @@
 import contextlib
 
 import attrs
+import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -55,8 +56,11 @@
     def apply(self, order):
         self.index += 1
         result = self.state.apply(self.index, pack_order(order))
-        changes = self.state.list_changes(self.view.version)
-        self.view.apply_changes(self.state.version, changes)
+        changes = self.state.pack_changes(self.view.version)
+        if changes is None:
+            self.view.replace(self.state.version, self.state.export())
+        else:
+            self.view.apply_changes(self.state.version, msgpack.unpackb(changes))
         return result.status
 
 
@@ -285,3 +289,20 @@
         assert fleet.view.table.caller_limits == expected.caller_limits
     addresses = [target.address for target in fleet.state.targets.values()]
     assert len(set(addresses)) == len(addresses)
+
+
+# Guards against a controller whose memory fills with changes that name every route.
+def test_kept_changes_are_bounded_by_their_size():
+    fleet = FleetHarness()
+    routes = [{**ROUTE, "name": f"r-{n}", "prefix": f"/{n}/"} for n in range(1400)]
+    for revision in range(1, 40):
+        changed = [{**route, "timeout_ms": 1000 + revision} for route in routes]
+        document = {**DOCUMENT, "routes": changed}
+        order = build_put(revision - 1, revision, document)
+        assert fleet.apply(order) is OrderStatus.ACCEPTED
+    kept = sum(len(change) for _, change in fleet.state._changes)
+    assert kept <= 4 * 1024 * 1024
+    assert fleet.view.document["routes"] == fleet.state.document["routes"]
+    lagging = FleetView()
+    assert fleet.state.pack_changes(lagging.version) is None
+    assert fleet.state.pack_changes(fleet.state.version) == msgpack.packb([])
