Run changes of a replica's state to their end in tasks of the replica

The same cause on a related path: `observe_term` ran in vote requests that are cancelled as soon as a majority has voted, and released the lock while its term was still being written.

Change: these transitions run under the lock in tasks of the replica; a handler only waits for them. A replica whose log doesn't continue its state fails and starts again from its disk, which holds both. The fake network cancels the handlers of a crashed sender, as the real one does; it didn't, so no test could find this.

--- a/toucanwood/consensus/_core.py
+++ b/toucanwood/consensus/_core.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import attrs
 import structlog
@@ -16,6 +17,7 @@
 from toucanwood.utils import TaskGroup
 from toucanwood.verdicts import Verdict, build_uncertain_verdict, refuse
 
+T = TypeVar("T")
 log = structlog.get_logger()
 
 HEARTBEAT_INTERVAL_S = 0.1
@@ -150,6 +152,21 @@
         self.role = RaftRole.FOLLOWER
         self.leader_id = leader_id
 
+    async def run_transition(
+        self, transition: Callable[[], Awaitable[T]], *, name: str
+    ) -> T:
+        """Run a change of the state under the lock and to its end.
+
+        The caller may be cancelled meanwhile, as the handler of a message is when the
+        connection of the sender ends.
+        """
+        task = self.tasks.start(self._run_locked(transition), name=name)
+        return await asyncio.shield(task)
+
+    async def _run_locked(self, transition: Callable[[], Awaitable[T]]) -> T:
+        async with self.lock:
+            return await transition()
+
     async def enter_term(self, term: int, vote: str | None) -> None:
         """Store a higher term or a vote durably; the caller must hold the lock."""
         if term > self.term:
@@ -158,9 +175,11 @@
 
     async def observe_term(self, term: int) -> None:
         """Enter `term` as a follower if a reply named it and it is higher."""
-        async with self.lock:
-            if term > self.term:
-                await self.enter_term(term, None)
+        await self.run_transition(lambda: self._observe_term(term), name="observe-term")
+
+    async def _observe_term(self, term: int) -> None:
+        if term > self.term:
+            await self.enter_term(term, None)
 
     def append(self, entry: Entry) -> None:
         """Append an entry to the log; a membership entry takes effect at once."""
@@ -199,7 +218,13 @@
         """Advance the commit index and apply the entries up to it."""
         self.commit_index = max(self.commit_index, index)
         while self.applied_index < self.commit_index:
-            entry = self.storage.log.get(self.applied_index + 1)
+            try:
+                entry = self.storage.log.get(self.applied_index + 1)
+            except IndexError as error:
+                # The state misses entries that the log no longer has. A restart loads
+                # a state and a log that belong together.
+                self.fail(f"the log does not continue the state: {error}")
+                return
             self._apply(entry)
 
     def _apply(self, entry: Entry) -> None:
--- a/toucanwood/consensus/_election.py
+++ b/toucanwood/consensus/_election.py
@@ -153,8 +153,9 @@
         if request.is_pre_vote:
             granted = request.term > core.term and self._is_up_to_date(request)
             return VoteReply(core.term, granted)
-        async with core.lock:
-            return await self._decide_vote(sender, request)
+        return await core.run_transition(
+            lambda: self._decide_vote(sender, request), name="vote"
+        )
 
     def _may_vote(self, request: RequestVote) -> bool:
         """Return whether the request is for this disk and no leader is in contact.
--- a/toucanwood/consensus/_receiver.py
+++ b/toucanwood/consensus/_receiver.py
@@ -42,20 +42,28 @@
     ) -> AppendReply | None:
         if self._core.is_closed:
             return None
-        async with self._core.lock:
-            if not await self._accept_leader(sender, request):
-                return self._build_reply(success=False, index=0)
-            return await self._store_entries(request)
+        return await self._core.run_transition(
+            lambda: self._accept_entries(sender, request), name="store-entries"
+        )
+
+    async def _accept_entries(self, sender: str, request: AppendEntries) -> AppendReply:
+        if not await self._accept_leader(sender, request):
+            return self._build_reply(success=False, index=0)
+        return await self._store_entries(request)
 
     async def _receive_chunk(
         self, sender: str, request: InstallSnapshot
     ) -> AppendReply | None:
         if self._core.is_closed:
             return None
-        async with self._core.lock:
-            if not await self._accept_leader(sender, request):
-                return self._build_reply(success=False, index=0)
-            return await self._store_chunk(sender, request)
+        return await self._core.run_transition(
+            lambda: self._accept_chunk(sender, request), name="store-snapshot"
+        )
+
+    async def _accept_chunk(self, sender: str, request: InstallSnapshot) -> AppendReply:
+        if not await self._accept_leader(sender, request):
+            return self._build_reply(success=False, index=0)
+        return await self._store_chunk(sender, request)
 
     async def _accept_leader(
         self, sender: str, request: AppendEntries | InstallSnapshot
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -271,3 +271,68 @@
     assert codes.count("overloaded") >= 64 - 16
     entries = get_core(cluster, leader).storage.log.entries
     assert sum(len(entry.data) for entry in entries) <= 17 * MIB
+
+
+@on_cluster("abc", seeds=5, snapshot_entries=50, keep_entries=30)
+async def test_end_of_the_leader_while_a_snapshot_is_stored_skips_no_entry(cluster):
+    # Guards against a follower that has stored a snapshot and not restored it, skips
+    # the entries between and answers reads with the old state as current.
+    leader = await cluster.wait_for_leader()
+    behind = other_ids(cluster, leader)[0]
+    await propose_many(cluster, b"first ", 5)
+    await cluster.wait_for_convergence()
+    for key in other_ids(cluster, behind):
+        cluster.network.set_faults(key, behind, LinkFaults(is_cut=True))
+        cluster.network.set_faults(behind, key, LinkFaults(is_cut=True))
+    await propose_many(cluster, b"second ", 100)
+    cluster.disks[behind].max_delay = 0.05
+    cluster.network.heal()
+    storage = get_core(cluster, behind).storage
+    await wait_until(storage._snapshot_lock.locked)
+    await cluster.crash(leader)
+    await cluster.run_checked(2.0)
+    await cluster.restart(leader)
+    await propose_many(cluster, b"third ", 30)
+    await cluster.wait_for_convergence()
+
+
+@on_cluster("abcde", seeds=3)
+async def test_cancelled_handlers_leave_each_replica_in_a_whole_state(cluster):
+    # Guards against a handler that stops between two changes that belong together,
+    # because the connection of its caller ends.
+    async def reset_connections():
+        generator = random.Random(cluster.seed)
+        while True:
+            sender, receiver = generator.sample(cluster.ids, 2)
+            cluster.network.reset(sender, receiver)
+            await asyncio.sleep(generator.uniform(0, 0.001))
+
+    for key in cluster.ids:
+        cluster.disks[key].max_delay = 0.01
+    resets = asyncio.create_task(reset_connections())
+    for round_number in range(6):
+        await propose_many(cluster, b"%d " % round_number, 30)
+        lost = cluster.ids[round_number % len(cluster.ids)]
+        await cluster.restart(lost, lose_disk=round_number % 2 == 0)
+        await wait_until(lambda at=lost: cluster.is_voter(at))
+        cluster.check()
+    resets.cancel()
+    await cluster.wait_for_convergence()
+
+
+@on_cluster("abc")
+async def test_replica_whose_state_is_behind_its_log_fails_and_answers_no_reads(
+    cluster,
+):
+    # Guards against a replica with contradicting indexes that applies other entries.
+    leader = await cluster.wait_for_leader()
+    await propose_many(cluster, b"", 60)
+    broken = other_ids(cluster, leader)[0]
+    core = get_core(cluster, broken)
+    core.applied_index = core.storage.log.base_index - 10
+    await cluster.propose(b"next")
+    replica = cluster.replicas[broken]
+    reason = await asyncio.wait_for(replica.wait_failed(), 5.0)
+    assert "does not continue" in reason
+    await asyncio.sleep(1.0)
+    assert replica.lease_age() > 0.8
--- a/toucanwood/peering/testing.py
+++ b/toucanwood/peering/testing.py
@@ -49,6 +49,17 @@
         transport = self._transports.pop(instance_id, None)
         if transport is not None:
             transport.is_alive = False
+            for peer_id in self._transports:
+                self.reset(instance_id, peer_id)
+
+    def reset(self, sender: str, receiver: str) -> None:
+        """End the connection that `sender` has dialed, with the handlers of its calls.
+
+        The messages in flight still arrive.
+        """
+        transport = self._transports.get(receiver)
+        if transport is not None:
+            transport.cancel_handlers(sender)
 
     def set_faults(self, sender: str, receiver: str, faults: LinkFaults) -> None:
         """Set the faults of one direction of a link."""
@@ -108,11 +119,17 @@
         self._network = network
         self._handlers: dict[type, Handler] = {}
         self._tasks = TaskGroup()
+        self._running: dict[str, set[asyncio.Task[Any]]] = {}
 
     def register(self, message_type: type, handler: Handler) -> None:
         """Handle every received message of one type; the result is the reply."""
         self._handlers[message_type] = handler
 
+    def cancel_handlers(self, sender: str) -> None:
+        """Cancel the handlers of the messages of one sender."""
+        for task in self._running.get(sender, ()):
+            task.cancel()
+
     def connected_peers(self) -> frozenset[str]:
         """Return the peers that are reachable."""
         return self._network.list_reachable_peers(self.instance_id)
@@ -159,7 +176,10 @@
         handler = self._handlers.get(type(body))
         if handler is not None and self.is_alive:
             coroutine = self._handle(handler, sender, body, future)
-            self._tasks.start(coroutine, name=f"handle-{type(body).__name__}")
+            task = self._tasks.start(coroutine, name=f"handle-{type(body).__name__}")
+            running = self._running.setdefault(sender, set())
+            running.add(task)
+            task.add_done_callback(running.discard)
 
     async def _handle(
         self,
