Sync the log and the directory before a replica uses its data

A loss of power before the next sync could lose an acknowledged order or make the log unreadable. A rename without its sync of the directory could bring back an older vote.

A start syncs the log and the directory before it reads them. test_content_read_after_a_kill_survives_a_loss_of_power kills the storage at each step of the disk, starts it, and cuts the power; it fails without the sync.

--- a/toucanwood/consensus/_storage.py
+++ b/toucanwood/consensus/_storage.py
@@ -266,6 +266,7 @@
     async def _load(self, names: list[str]) -> Snapshot | None:
         if LOG_FILE not in names:
             raise DamagedStorageError(f"file {LOG_FILE} is missing")
+        await self._run_on_disk(self._sync_files)
         state = await self._run_on_disk(lambda: self._disk.read(STATE_FILE))
         self.state = HardState(*read_single_record(state, STATE_FILE))
         snapshot = None
@@ -277,6 +278,14 @@
         await self._reconcile_log(snapshot)
         return snapshot
 
+    def _sync_files(self) -> None:
+        """Make durable what a killed process may have written or renamed only.
+
+        The state and the snapshot were synced before they got their names.
+        """
+        self._disk.sync(LOG_FILE)
+        self._disk.sync_directory()
+
     async def _load_log(self) -> None:
         file = await self._run_on_disk(self._replay_log)
         if file.valid_bytes < file.size:
--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -81,6 +81,14 @@
         disk._durable_files = dict(disk._files)
         return disk
 
+    def kill(self) -> "FakeDisk":
+        """Return a disk with all written content, also what has not been synced."""
+        self.crash()
+        disk = self.replace()
+        disk._files = self._files
+        disk._durable_files = self._durable_files
+        return disk
+
     def replace(self) -> "FakeDisk":
         """Return an empty disk in place of this one."""
         self.crash()
--- a/toucanwood/consensus/tests/test_storage.py
+++ b/toucanwood/consensus/tests/test_storage.py
@@ -228,6 +228,30 @@
     await check_durable(disk.restart(), durable)
 
 
+@in_virtual_time
+async def test_content_read_after_a_kill_survives_a_loss_of_power():
+    # Guards against entries, votes and snapshots that a killed process had written and
+    # not synced, and that count as synced after its restart.
+    clean = FakeDisk(1)
+    await run_all_operations(clean, ConfirmedContent())
+    for position in range(1, len(clean.steps) + 1):
+        for seed in range(4):
+            disk = FakeDisk(seed)
+            disk.fail_at("any", DiskCrashError(), countdown=position)
+            await expect_error(
+                run_all_operations(disk, ConfirmedContent()), StorageError
+            )
+            disk = disk.kill()
+            storage, snapshot = await open_storage(disk)
+            confirmed = ConfirmedContent(
+                storage.state,
+                storage.state,
+                storage.synced_index,
+                snapshot.index if snapshot else 0,
+            )
+            await check_durable(disk.restart(), confirmed)
+
+
 @in_virtual_time
 async def test_no_operation_succeeds_after_a_failed_fsync():
     # Guards against a retried fsync that succeeds although pages were dropped.
