Refuse orders that were submitted before a later one for the same item

Callers saw: a zone is evacuated, and its targets get requests without end.

Cause: an order that sets a value names neither the state that it was based on nor an identity. Configurations have a base revision and a digest, announcements a start time and a sequence number; evacuations had neither, nor had the removal of a target that names no start time, which could remove a later incarnation under the same id.

Change: these two orders carry the version of the state (the log index) that the submitter had seen when its caller asked. The submitter tries again with the newer version only while its caller waits. No clock takes part; log order is the only order.

--- a/toucanwood/controller/_order_submitter.py
+++ b/toucanwood/controller/_order_submitter.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import attrs
 import structlog
 from returns.result import Failure, Result, Success
 
@@ -12,8 +13,11 @@
     FleetState,
     Order,
     OrderResult,
+    OrderStatus,
     PatchRouting,
     PutRouting,
+    RemoveTarget,
+    SetEvacuation,
     pack_order,
 )
 from toucanwood.metrics import MetricsRegistry
@@ -53,7 +57,7 @@
         A failed result states whether the order may have been committed.
         """
         started = asyncio.get_running_loop().time()
-        result = await self._submit(pack_order(order))
+        result = await self._submit_until(order, started + ORDER_TIMEOUT_S)
         self._metrics.count_event(type(order).__name__, describe_result(result))
         if isinstance(order, PutRouting | PatchRouting):
             log.info(
@@ -68,15 +72,45 @@
             )
         return result
 
-    async def _submit(self, data: bytes) -> Result[OrderResult, Verdict]:
+    async def _submit_until(
+        self, order: Order, deadline: float
+    ) -> Result[OrderResult, Verdict]:
+        """Submit an order, again with a newer version if a later one superseded it.
+
+        The caller waits meanwhile, so its order is the newest. A copy of the order that
+        a link has held back arrives with the older version and has no effect.
+        """
+        now = asyncio.get_running_loop().time
+        seen_version = self._state.version
+        while True:
+            if isinstance(order, SetEvacuation | RemoveTarget):
+                order = attrs.evolve(order, seen_version=seen_version)
+            timeout = max(deadline - now(), 0.0)
+            result = await self._submit(pack_order(order), timeout)
+            if not _is_superseded(result):
+                return result
+            seen_version = result.unwrap().version
+            log.info(
+                "order_superseded",
+                order=type(order).__name__,
+                version=seen_version,
+                message=result.unwrap().message,
+            )
+            if deadline - now() < FORWARD_MARGIN_S:
+                message = "later orders for the same item were committed first"
+                return Failure(refuse_for_now("order_superseded", message))
+
+    async def _submit(
+        self, data: bytes, timeout: float
+    ) -> Result[OrderResult, Verdict]:
         if self._replica.is_leader():
-            return await self._propose(data, ORDER_TIMEOUT_S)
+            return await self._propose(data, timeout)
         leader = self._replica.leader()
         if leader is None or leader == self._network.instance_id:
             return Failure(
                 refuse_for_now("no_leader", "this controller knows no leader")
             )
-        return await self._forward(leader, data)
+        return await self._forward(leader, data, timeout)
 
     async def _answer_order(self, sender: str, request: SubmitOrder) -> OrderAnswer:
         if not self._replica.is_leader():
@@ -91,10 +125,12 @@
     ) -> Result[OrderResult, Verdict]:
         return await self._replica.propose(data, timeout=timeout)
 
-    async def _forward(self, leader: str, data: bytes) -> Result[OrderResult, Verdict]:
+    async def _forward(
+        self, leader: str, data: bytes, timeout: float
+    ) -> Result[OrderResult, Verdict]:
         try:
             answer = await self._network.call(
-                leader, SubmitOrder(data), timeout=ORDER_TIMEOUT_S
+                leader, SubmitOrder(data), timeout=timeout
             )
         except PeerUnavailable as error:
             if error.execution is Execution.NOT_RUN:
@@ -115,6 +151,12 @@
     return refuse(code, message, status=503, retry_after=RETRY_AFTER_S)
 
 
+def _is_superseded(result: Result[OrderResult, Verdict]) -> bool:
+    if not isinstance(result, Success):
+        return False
+    return result.unwrap().status is OrderStatus.SUPERSEDED
+
+
 def describe_result(result: Result[Any, Verdict]) -> str:
     """Return "committed" or the code of the failure, for logs and metrics."""
     if isinstance(result, Success):
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -15,8 +15,11 @@
     find_promotable_member,
     find_removable_member,
 )
+from toucanwood.controller._messages import SubmitOrder
 from toucanwood.controller.tests.harness import DOCUMENT, TARGET, run_scenario, wait_for
 from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation, TargetState
+from toucanwood.peering import PeerUnavailable
+from toucanwood.verdicts import Execution
 
 
 async def start_group(controllers, count=3, **changed):
@@ -353,3 +356,54 @@
     controller._now.return_value = 0.0
     asyncio.run(ControllerInstance._expire(controller))
     assert len(running) == 50
+
+
+# Guards against an order that a link held back, that its sender gave up and sent again
+# elsewhere, and that is then applied after a later order.
+def test_order_that_a_link_held_back_does_not_undo_a_later_one():
+    async def scenario(controllers):
+        await start_group(controllers)
+        leader = await controllers.wait_leader()
+        cut_off, other = (number for number in (1, 2, 3) if number != leader)
+        await controllers.submit(SetEvacuation("a", True), at=other)
+        network = controllers.running[cut_off].network
+        await wait_for(lambda: controllers.running[cut_off].state.evacuated == {"a"})
+        deliver = network.call
+        held_back = []
+
+        async def hold_back(peer_id, body, *, timeout):
+            if not isinstance(body, SubmitOrder):
+                return await deliver(peer_id, body, timeout=timeout)
+            held_back.append((peer_id, body))
+            raise PeerUnavailable(peer_id, "no reply", Execution.MAY_HAVE_RUN)
+
+        with mock.patch.object(network, "call", hold_back):
+            end = SetEvacuation("a", False)
+            result = await controllers.running[cut_off].submit(end)
+            assert isinstance(result, Failure)
+        await controllers.submit(SetEvacuation("a", False), at=other)
+        await controllers.submit(SetEvacuation("a", True), at=other)
+        for peer_id, body in held_back:
+            await deliver(peer_id, body, timeout=1.0)
+        await asyncio.sleep(0.3)
+        for controller in controllers.running.values():
+            assert controller.state.evacuated == {"a"}
+
+    run_scenario(scenario)
+
+
+# Guards against orders that are refused since a controller has not yet applied the
+# last one.
+def test_orders_to_different_controllers_right_after_each_other_are_committed():
+    async def scenario(controllers):
+        await start_group(controllers)
+        for number in range(30):
+            at = number % 3 + 1
+            order = SetEvacuation("a", number % 2 == 0)
+            result = await controllers.running[at].submit(order)
+            assert isinstance(result, Success), result
+            assert result.unwrap().status is OrderStatus.ACCEPTED
+        for controller in controllers.running.values():
+            await wait_for(lambda item=controller: not item.state.evacuated)
+
+    run_scenario(scenario)
--- a/toucanwood/fleet/_orders.py
+++ b/toucanwood/fleet/_orders.py
@@ -17,24 +17,30 @@
     # The base revision of the order is not the current revision.
     CONFLICT = "conflict"
     INVALID = "invalid"
+    # The submitter had not seen a later order for the same item.
+    SUPERSEDED = "superseded"
 
 
 @attrs.frozen
 class OrderResult:
-    """Hold the status, the current revision and a message for the operator."""
+    """Hold the status, the current revision and a message for the operator.
+
+    `version` is the log index at which the order was applied.
+    """
 
     status: OrderStatus
     revision: int
     message: str = ""
+    version: int = 0
 
     def to_wire(self) -> list[Any]:
         """Return the result as a msgpack list."""
-        return [self.status.value, self.revision, self.message]
+        return [self.status.value, self.revision, self.message, self.version]
 
     @classmethod
     def from_wire(cls, content: list[Any]) -> "OrderResult":
         """Decode a result from a msgpack list."""
-        return cls(OrderStatus(content[0]), content[1], content[2])
+        return cls(OrderStatus(content[0]), *content[1:])
 
 
 @attrs.frozen
@@ -61,10 +67,15 @@
 
 @attrs.frozen
 class SetEvacuation:
-    """Start or end the evacuation of the targets in a data centre."""
+    """Start or end the evacuation of the targets in a data centre.
+
+    `seen_version` is the version of the state at the submitter. The order has no effect
+    if the evacuation was set after it; None sets it in any case.
+    """
 
     data_centre: str
     is_evacuated: bool
+    seen_version: int | None = None
 
 
 @attrs.frozen
@@ -80,12 +91,14 @@
 
     An incarnation that started after `start_time_ms` is kept; None removes any
     incarnation. `sequence` is the number of the last announcement that the caller has
-    seen, or None if the target itself asked to be removed.
+    seen, or None if the target itself asked to be removed. Without a start time, an
+    incarnation that was added after `seen_version` is kept too.
     """
 
     id: str
     start_time_ms: int | None
     sequence: int | None
+    seen_version: int | None = None
 
 
 Order = PutRouting | PatchRouting | SetEvacuation | ReportTarget | RemoveTarget
--- a/toucanwood/fleet/_state.py
+++ b/toucanwood/fleet/_state.py
@@ -29,6 +29,8 @@
 # Maximum number of records of departed targets. They identify delayed announcements,
 # which must not add the target again.
 MAX_DEPARTED_TARGETS = 4096
+# Maximum number of data centres whose last evacuation order is remembered.
+MAX_REMEMBERED_EVACUATIONS = 1024
 # Maximum number of changes kept for updates. Instances that are further behind receive
 # the full state.
 MAX_KEPT_CHANGES = 2000
@@ -52,6 +54,10 @@
     # The start time and last sequence number of targets that have left, by id.
     departed: "OrderedDict[str, tuple[int, int]]" = attrs.field(factory=OrderedDict)
     _accepted: "OrderedDict[bytes, int]" = attrs.field(factory=OrderedDict)
+    # The log index of the last evacuation order of each data centre, and of the order
+    # that added each target.
+    _evacuation_versions: "OrderedDict[str, int]" = attrs.field(factory=OrderedDict)
+    _added_versions: dict[str, int] = attrs.field(factory=dict)
     # The log index and the encoded form of each change.
     _changes: deque[tuple[int, bytes]] = attrs.field(factory=deque)
     _changes_bytes: int = 0
@@ -88,6 +94,10 @@
 
     @_apply.register
     def _(self, order: SetEvacuation) -> OrderResult:
+        set_at = self._evacuation_versions.get(order.data_centre, 0)
+        if order.seen_version is not None and set_at > order.seen_version:
+            return self._refuse_superseded(set_at)
+        self._remember_evacuation(order.data_centre)
         if order.is_evacuated:
             self.evacuated.add(order.data_centre)
         else:
@@ -105,6 +115,8 @@
         if self.is_departed(target) or self._is_address_reassigned(target):
             return self._accept()
         self._remove_others_at_address(target)
+        if known is None or known.start_time_ms != target.start_time_ms:
+            self._added_versions[target.id] = self.version
         self.targets[target.id] = target
         self._record_change(Change(ChangeKind.TARGET, target.to_wire()))
         return self._accept()
@@ -119,6 +131,13 @@
             and order.start_time_ms < known.start_time_ms
         ):
             return self._accept()
+        added_at = self._added_versions.get(order.id, 0)
+        if (
+            order.start_time_ms is None
+            and order.seen_version is not None
+            and added_at > order.seen_version
+        ):
+            return self._refuse_superseded(added_at)
         # A target that has announced itself since the caller found it silent is kept.
         if order.sequence is not None and order.sequence < known.sequence:
             return self._accept()
@@ -140,13 +159,19 @@
                 *self.export(),
                 [[key, *value] for key, value in self.departed.items()],
                 [[key, value] for key, value in self._accepted.items()],
+                [[key, value] for key, value in self._evacuation_versions.items()],
+                [[key, value] for key, value in self._added_versions.items()],
             ]
         )
 
     def restore(self, data: bytes) -> None:
         """Replace the state with a snapshot."""
         content = msgpack.unpackb(data, strict_map_key=False)
-        version, revision, document, evacuated, targets, departed, accepted = content
+        version, revision, document, evacuated, targets, departed, accepted = content[
+            :7
+        ]
+        # A snapshot of an earlier release ends here.
+        evacuation_versions, added_versions = content[7:] or ([], [])
         self.version = version
         self.revision = revision
         self.document = document
@@ -157,6 +182,10 @@
             for key, start_time_ms, sequence in departed
         )
         self._accepted = OrderedDict((key, value) for key, value in accepted)
+        self._evacuation_versions = OrderedDict(
+            (key, value) for key, value in evacuation_versions
+        )
+        self._added_versions = {key: value for key, value in added_versions}
         self._changes.clear()
         self._changes_bytes = 0
         self._oldest_version = version
@@ -229,9 +258,16 @@
 
     def _remove(self, target: Target) -> None:
         del self.targets[target.id]
+        self._added_versions.pop(target.id, None)
         values = [target.id, target.start_time_ms]
         self._record_change(Change(ChangeKind.TARGET_REMOVED, values))
 
+    def _remember_evacuation(self, data_centre: str) -> None:
+        self._evacuation_versions[data_centre] = self.version
+        self._evacuation_versions.move_to_end(data_centre)
+        if len(self._evacuation_versions) > MAX_REMEMBERED_EVACUATIONS:
+            self._evacuation_versions.popitem(last=False)
+
     def _remember_departed(self, target: Target) -> None:
         self.departed[target.id] = (target.start_time_ms, target.sequence)
         if len(self.departed) > MAX_DEPARTED_TARGETS:
@@ -249,4 +285,8 @@
             self._changes_bytes -= len(removed)
 
     def _accept(self) -> OrderResult:
-        return OrderResult(OrderStatus.ACCEPTED, self.revision)
+        return OrderResult(OrderStatus.ACCEPTED, self.revision, version=self.version)
+
+    def _refuse_superseded(self, set_at: int) -> OrderResult:
+        message = f"an order at version {set_at} was not seen by the submitter"
+        return OrderResult(OrderStatus.SUPERSEDED, self.revision, message, self.version)
--- a/toucanwood/fleet/tests/test_state.py
+++ b/toucanwood/fleet/tests/test_state.py
@@ -306,3 +306,51 @@
     lagging = FleetView()
     assert fleet.state.pack_changes(lagging.version) is None
     assert fleet.state.pack_changes(fleet.state.version) == msgpack.packb([])
+
+
+# Guards against an order that a link held back and that undoes later acknowledged ones.
+def test_evacuation_order_older_than_the_last_one_changes_nothing():
+    for first, later in ((True, False), (False, True)):
+        fleet = FleetHarness()
+        fleet.apply(SetEvacuation("a", not first, seen_version=0))
+        held_back = SetEvacuation("a", first, seen_version=fleet.state.version)
+        for value in (first, later):
+            order = SetEvacuation("a", value, seen_version=fleet.state.version)
+            assert fleet.apply(order) is OrderStatus.ACCEPTED
+        state = fleet.state.snapshot()
+        fleet.state.restore(state)
+        assert fleet.apply(held_back) is OrderStatus.SUPERSEDED
+        assert ("a" in fleet.state.evacuated) is later
+        assert fleet.view.evacuated == fleet.state.evacuated
+        other = SetEvacuation("b", True, seen_version=1)
+        assert fleet.apply(other) is OrderStatus.ACCEPTED
+
+
+# Guards against a removal without a start time that removes a later incarnation.
+def test_removal_older_than_the_restart_of_a_target_changes_nothing():
+    fleet = FleetHarness()
+    fleet.apply(build_report())
+    held_back = RemoveTarget("t-1", None, None, seen_version=fleet.state.version)
+    assert fleet.apply(held_back) is OrderStatus.ACCEPTED
+    assert "t-1" not in fleet.state.targets
+    fleet.apply(build_report(start_time_ms=2000))
+    fleet.state.restore(fleet.state.snapshot())
+    assert fleet.apply(held_back) is OrderStatus.SUPERSEDED
+    assert "t-1" in fleet.state.targets
+    fleet.apply(build_report(start_time_ms=2000, sequence=2))
+    seen = attrs.evolve(held_back, seen_version=fleet.state.version - 1)
+    assert fleet.apply(seen) is OrderStatus.ACCEPTED
+    assert "t-1" not in fleet.state.targets
+
+
+# Guards against a controller that can't read the data folder of an earlier release.
+def test_orders_and_snapshots_of_an_earlier_release_are_read():
+    fleet = FleetHarness()
+    fleet.apply(build_put(0, 1))
+    fleet.state.apply(2, msgpack.packb(["set_evacuation", "a", True]))
+    fleet.state.apply(3, msgpack.packb(["remove_target", "t-1", None, None]))
+    snapshot = msgpack.unpackb(fleet.state.snapshot())[:7]
+    restored = FleetState()
+    restored.restore(msgpack.packb(snapshot))
+    assert restored.evacuated == {"a"}
+    assert restored.revision == 1
