Read and drop the rest of a body after an early response

A caller that sends half a body and waits got no answer at all.

Cause: a response ended the request, but nobody read the rest of its body, and the stream of the body pauses the connection at 128 KiB of unread bytes. The wait for a body had no bound. A request for an upgrade was answered on a connection that was then neither read nor closed.

Change: the connection reads and drops the rest, up to 1 MiB and 5 s, and goes on with the next request. If the declared rest is longer, the response says `Connection: close`; while a closed connection lingers, what still arrives is dropped, so that the response isn't lost to a reset. A body that hasn't arrived at the deadline of its request is answered 408, not run. A request for an upgrade is answered with `Connection: close`.

--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -111,7 +111,7 @@
         if context.deadline_at > self._get_latest_deadline():
             # The request could be cut off at the end of the stop, after it has run.
             raise _refuse("stopping", "this entry is stopping", 503, 0.0)
-        context.body = await self._read_body(table, request)
+        context.body = await self._read_body(table, request, context.deadline_at)
         if organisation is not None and not self._quota.admit(organisation, now):
             message = f"organisation {organisation.name} exceeds its request rate"
             raise _refuse("over_quota", message, 429, OVER_QUOTA_RETRY_AFTER_S)
@@ -215,9 +215,15 @@
         )
         return f"{route.name}|{key}" if key is not None else None
 
-    async def _read_body(self, table: RoutingTable, request: CallerRequest) -> bytes:
+    async def _read_body(
+        self, table: RoutingTable, request: CallerRequest, deadline_at: float
+    ) -> bytes:
         try:
-            return await request.read_body(table.caller_limits.body_bytes)
+            async with asyncio.timeout_at(deadline_at):
+                return await request.read_body(table.caller_limits.body_bytes)
+        except TimeoutError as error:
+            message = "the request body did not arrive before the deadline"
+            raise _refuse("body_timeout", message, 408) from error
         except BodyTooLarge as error:
             raise _refuse("body_too_large", str(error), 413) from error
         except BodyError as error:
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -329,3 +329,29 @@
     assert read_wait(200, "2") == read_wait(429, "2") == read_wait(503, "1", "2") == 0.0
     for value in ("", "-3", "nan", "inf", "soon", "1e3", "9" * 400, "٣"):
         assert read_wait(503, value) == 0.0, value
+
+
+# Guards against a caller that gets no answer because it sends no more of its body.
+def test_request_with_a_stalled_body_is_answered_at_its_deadline():
+    async def scenario(harness):
+        for path, length in (("/safe/x", 50_000), ("/unsafe/x", 300_000)):
+            for waits_ms in (0, 300):
+                reader, writer = await harness.connect()
+                headers = {
+                    "Content-Length": str(length),
+                    NAMES.remaining_ms: str(waits_ms),
+                }
+                writer.write(harness.build_request(path, method="POST", **headers))
+                writer.write(bytes(length // 2))
+                async with asyncio.timeout(waits_ms / 1000 + 0.5):
+                    status, headers, _ = await read_response(reader)
+                assert status == 408
+                assert headers["Toucanwood-Verdict"] == "not-run"
+                writer.write(bytes(length - length // 2))
+                writer.write(harness.build_request("/safe/x"))
+                async with asyncio.timeout(1.0):
+                    assert (await read_response(reader))[0] == 200
+                writer.close()
+        assert len(harness.received) == 4
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -39,6 +39,10 @@
 # full close with unread bytes sends a reset, which could reach the caller before it has
 # read the response.
 LINGER_S = 1.0
+# Bounds of what is read and dropped of a request body after an early response, so that
+# the next request of the connection can be read. Beyond them the connection is closed.
+MAX_DROPPED_BYTES = 1024 * 1024
+MAX_DROP_S = 5.0
 # Ratio of the time after which the server closes an idle connection to the declared
 # idle timeout, so that callers stop using the connection before it is closed.
 IDLE_TIMEOUT_FACTOR = 1.1
@@ -134,7 +138,9 @@
 
     def _should_close(self) -> bool:
         self.closes_connection = (
-            self.closes_connection or self._connection.is_last_response(self)
+            self.closes_connection
+            or self._connection.is_last_response(self)
+            or self.request.count_unread_bytes() > MAX_DROPPED_BYTES
         )
         return self.closes_connection
 
@@ -177,6 +183,7 @@
         self._idle_timer: asyncio.TimerHandle | None = None
         self._idle_since = loop.time()
         self._is_closing = False
+        self._drop_task: asyncio.Task[None] | None = None
         self.peer = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -195,6 +202,8 @@
         self._stop_header_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        if self._drop_task is not None:
+            self._drop_task.cancel()
         self._cancel_requests()
 
     def data_received(self, data: bytes) -> None:
@@ -212,7 +221,10 @@
         for message, payload in messages:
             self._start_request(message, payload)
         if upgraded:
+            # The parser reads nothing behind such a request.
             self._is_closing = True
+            if self._responders:
+                self._responders[-1].closes_connection = True
         if messages:
             self._stop_header_timer()
         elif data and is_between_requests:
@@ -259,6 +271,9 @@
         if responder.closes_connection:
             self._close_gracefully()
             return
+        if not responder.request.payload.at_eof():
+            body = responder.request.payload
+            self._drop_task = self._loop.create_task(self._drop_body(body))
         if self._responders:
             self._responders[0].allow_writing()
         if self._buffer_paused and len(self._responders) < MAX_CONCURRENT_REQUESTS // 2:
@@ -320,6 +335,25 @@
             if not responder.is_finished and not self._is_closing:
                 self.abort()
 
+    async def _drop_body(self, body: StreamReader) -> None:
+        """Read and drop the rest of a body whose request has been answered."""
+        dropped = 0
+        try:
+            async with asyncio.timeout(MAX_DROP_S):
+                while chunk := await body.readany():
+                    dropped += len(chunk)
+                    if dropped > MAX_DROPPED_BYTES:
+                        break
+                else:
+                    return
+        except TimeoutError:
+            log.info("request_body_stalled", peer=self.peer, dropped=dropped)
+        except Exception as error:
+            # The body broke off or is malformed; the parser closes the connection.
+            log.info("request_body_incomplete", peer=self.peer, error=repr(error))
+        if not self._is_closing:
+            self._close_gracefully()
+
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
         if isinstance(error, LineTooLong):
             code, status = "header_too_large", 431
@@ -352,6 +386,9 @@
             return
         if transport.can_write_eof():
             transport.write_eof()
+        # What the caller still sends is dropped: a close with unread bytes sends a
+        # reset, and a caller that can't send doesn't read the response.
+        self._resume_transport_reading()
         self._loop.call_later(LINGER_S, self._close_transport)
 
     def _cancel_requests(self) -> None:
--- a/toucanwood/httpd/_request.py
+++ b/toucanwood/httpd/_request.py
@@ -59,6 +59,13 @@
             "Content-Length", "0"
         ) not in ("", "0")
 
+    def count_unread_bytes(self) -> int:
+        """Return how many bytes of the declared length have not arrived yet."""
+        declared = self.message.headers.get("Content-Length", "")
+        if self.payload.is_eof() or not declared.isdigit():
+            return 0
+        return max(int(declared) - self.payload.total_bytes, 0)
+
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body; raise BodyError or BodyTooLarge."""
         if not self.has_body:
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import socket
+from unittest import mock
 
 from toucanwood.httpd import BodyTooLarge, HttpServer, Response
 from toucanwood.routing import CallerLimits
@@ -325,3 +326,94 @@
 
     asyncio.run(main())
     assert handled == ["/kept"]
+
+
+def build_body(size, is_chunked):
+    """Return the header lines and the bytes of a body."""
+    if not is_chunked:
+        return f"Content-Length: {size}\r\n", b"x" * size
+    chunk = b"%x\r\n%b\r\n" % (1000, b"x" * 1000)
+    return "Transfer-Encoding: chunked\r\n", chunk * (size // 1000) + b"0\r\n\r\n"
+
+
+async def refuse_early(responder):
+    is_refused = responder.request.path == "/refused"
+    await responder.send(Response(401 if is_refused else 200))
+
+
+# Guards against a kept connection that answers nothing after an early response, because
+# nobody reads the rest of the body.
+def test_request_behind_an_early_response_is_answered():
+    async def main():
+        async with run_server(refuse_early) as server:
+            for is_chunked in (False, True):
+                for size in (10, 100_000, 140_000, 200_000, 900_000):
+                    extra, body = build_body(size, is_chunked)
+                    head = build_request("/refused", extra, "POST")
+                    half = len(body) // 2
+                    for parts in ([head + body], [head, body], [head + body[:half]]):
+                        reader, writer = await connect(server)
+                        for part in parts:
+                            writer.write(part)
+                        assert (await read_response(reader))[0] == 401
+                        sent = sum(len(part) for part in parts) - len(head)
+                        writer.write(body[sent:] + build_request("/next"))
+                        async with asyncio.timeout(5.0):
+                            assert (await read_response(reader))[0] == 200
+                        writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against a response that is lost, since the connection is closed while its
+# caller still sends.
+def test_early_response_to_a_body_beyond_the_bound_arrives_and_closes():
+    async def main():
+        async with run_server(refuse_early) as server:
+            for is_chunked in (False, True):
+                extra, body = build_body(4_000_000, is_chunked)
+                reader, writer = await connect(server)
+                writer.write(build_request("/refused", extra, "POST") + body)
+                with contextlib.suppress(ConnectionError):
+                    async with asyncio.timeout(5.0):
+                        await writer.drain()
+                async with asyncio.timeout(5.0):
+                    status, _, head = await read_response(reader)
+                    assert status == 401
+                    assert is_chunked or "Connection: close" in head
+                    assert await reader.read() == b""
+                writer.close()
+
+    asyncio.run(main())
+
+
+# Guards against a connection that is kept for a body that never goes on.
+def test_connection_with_a_stalled_body_is_closed_after_an_early_response():
+    async def main():
+        async with run_server(refuse_early) as server:
+            reader, writer = await connect(server)
+            request = build_request("/refused", "Content-Length: 900000\r\n", "POST")
+            writer.write(request + bytes(200_000))
+            assert (await read_response(reader))[0] == 401
+            async with asyncio.timeout(3.0):
+                assert await reader.read() == b""
+            writer.close()
+
+    with mock.patch("toucanwood.httpd._connection.MAX_DROP_S", 0.2):
+        asyncio.run(main())
+
+
+# Guards against a connection that is neither served nor closed after such a request.
+def test_request_for_an_upgrade_is_answered_and_closes():
+    async def main():
+        async with run_server(refuse_early) as server:
+            reader, writer = await connect(server)
+            extra = "Connection: Upgrade\r\nUpgrade: websocket\r\n"
+            writer.write(build_request("/", extra) + build_request("/next"))
+            async with asyncio.timeout(3.0):
+                status, _, head = await read_response(reader)
+                assert status == 200 and "Connection: close" in head
+                assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(main())
