Refuse requests at an entry that knows of a newer document and can't fetch it

The entry lost its controller at 6.96 s. At about 8.9 s a controller answered a probe with a newer, proven version; the poll that followed carried the change of 864 routes, was given up after 1.0 s, and the next controller was asked for the same one. The new document was applied at 11.43 s; until then the entry admitted requests by the old one, whose proof was 5 s old.

Cause: what an entry believed outlived what proves it. It knew of the newer version and went on, and it gave up replies that were on their way.

Change: controllers name their revision in each answer. An entry that has heard of a newer one, and whose state has not been proven within `max_state_age_s`, refuses requests as not run (`state_outdated`); other entries have the document. One that hears nothing, such as behind a cut, serves as before. A slow poll stays pending beside the search and the next polls (three at most) and is used when it arrives.

--- a/toucanwood/controller/_instance.py
+++ b/toucanwood/controller/_instance.py
@@ -320,6 +320,7 @@
             ),
             signals_epoch=self._signals.epoch,
             signals_version=self._signals.version,
+            revision=self.state.revision,
         )
 
     def list_entries(self) -> tuple[list[str], int]:
--- a/toucanwood/controller/_messages.py
+++ b/toucanwood/controller/_messages.py
@@ -78,6 +78,8 @@
     signals: list[list[Any]] | None = None
     signals_epoch: int = 0
     signals_version: int = 0
+    # The revision of the routing document of the controller.
+    revision: int = 0
 
 
 @message(103)
--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -84,8 +84,10 @@
         is_refusing_requests: Callable[[], bool],
         get_latest_deadline: Callable[[], float],
         is_state_current: Callable[[], bool],
+        has_newest_revision: Callable[[], bool],
     ) -> None:
         self._is_state_current = is_state_current
+        self._has_newest_revision = has_newest_revision
         self._view = view
         self._header_names = header_names
         self._quota = quota
@@ -105,6 +107,10 @@
             now = asyncio.get_running_loop().time()
         if self._is_refusing_requests():
             raise _refuse("stopping", "this entry is stopping", 503, 0.0)
+        if not self._has_newest_revision() and not self._is_state_current():
+            # Other entries have the newer document in force by now.
+            message = "a newer routing document could not be fetched in time"
+            raise _refuse("state_outdated", message, 503, STALE_STATE_RETRY_AFTER_S)
         route = self._find_route(table, request)
         organisation = self._authenticate(table, route, request)
         context = self._build_context(request, route, organisation)
--- a/toucanwood/gateway/_controller_search.py
+++ b/toucanwood/gateway/_controller_search.py
@@ -64,6 +64,10 @@
         """Let the next search begin behind the selected controller."""
         self._current_index = (self._current_index + 1) % max(len(self.controllers), 1)
 
+    def select_controller(self, controller: str) -> None:
+        """Select a known controller."""
+        self._current_index = self.controllers.index(controller)
+
     def select_newest(self) -> bool:
         """Select the controller with the highest version of those that were probed."""
         if not self._probed_versions:
--- a/toucanwood/gateway/_feed_client.py
+++ b/toucanwood/gateway/_feed_client.py
@@ -19,15 +19,17 @@
 from toucanwood.gateway._controller_search import ControllerSearch, is_proven
 from toucanwood.peering import PeerNetwork, PeerUnavailable
 from toucanwood.quota import QuotaEnforcer
-from toucanwood.utils import TaskGroup, run_periodically, run_step
+from toucanwood.utils import TaskGroup, cancel_and_wait, run_periodically, run_step
 
 log = structlog.get_logger()
 
 POLL_INTERVAL_S = 0.25
-POLL_TIMEOUT_S = 0.5
-# Upper limit of the poll timeout, which doubles after each failed poll. With a fixed
-# timeout, a long reply on a slow link would never arrive in time.
-MAX_POLL_TIMEOUT_S = 2.0
+# Time after which another controller is sought while the reply may still arrive, and
+# the time after which it no longer counts. A long reply on a busy link takes longer
+# than that to an unreachable controller may.
+SLOW_POLL_S = 0.5
+POLL_TIMEOUT_S = 4.0
+MAX_PENDING_POLLS = 3
 ANNOUNCE_INTERVAL_S = 1.0
 # Minimum time between an announcement and one because of a change.
 MIN_ANNOUNCE_INTERVAL_S = 0.4
@@ -79,9 +81,7 @@
         self._search = ControllerSearch(
             network,
             peer_port=peer_port,
-            is_usable=lambda update: (
-                is_proven(update) and update.version >= view.version
-            ),
+            is_usable=self._is_usable,
         )
         self._leader = ""
         self._entries_mark = 0
@@ -90,7 +90,9 @@
         self._signals_version = 0
         self._announced_at = float("-inf")
         self._next_announcement: asyncio.TimerHandle | None = None
-        self._poll_timeout_s = POLL_TIMEOUT_S
+        # The polls that are not answered yet, and their controllers.
+        self._polls: dict[asyncio.Task[bool], str] = {}
+        self._newest_revision = 0
         self._started_at = asyncio.get_running_loop().time()
         self._state_proven_at = float("-inf")
         self._is_reported_stale = False
@@ -117,6 +119,7 @@
         """Stop all tasks."""
         if self._next_announcement is not None:
             self._next_announcement.cancel()
+        self._cancel_polls()
         await self._tasks.stop()
 
     def announce(self) -> None:
@@ -146,6 +149,10 @@
         """Return the seconds since the fleet view was last proven current."""
         return now - self._state_proven_at
 
+    def has_newest_revision(self) -> bool:
+        """Return whether no controller has proven a newer routing document."""
+        return self._view.revision >= self._newest_revision
+
     def dump(self) -> dict[str, Any]:
         """Return a JSON-serialisable description."""
         return {
@@ -186,16 +193,70 @@
         return now - self._started_at > FIRST_STATE_WAIT_S
 
     async def _poll_with_failover(self) -> None:
-        """Poll one controller; select another one if it does not prove its state."""
-        if await self._poll_and_log():
+        """Poll one controller; select another one if it does not prove its state.
+
+        A poll that takes long stays pending beside the search and the next polls: on a
+        busy link each of them is as slow, and another copy of its reply delays both.
+        """
+        controller = self._search.current
+        poll = self._tasks.start(self._poll_and_log(), name="poll-controller")
+        self._polls[poll] = controller
+        may_add = len(self._polls) < MAX_PENDING_POLLS
+        if await self._wait_for_poll(timeout_s=SLOW_POLL_S if may_add else None):
             return
+        if poll in self._polls:
+            self._log_lost_controller(controller, f"no reply in {SLOW_POLL_S} s")
         self._search.skip_current()
-        await self._search.select(
-            self._build_poll,
-            interval_s=RESELECT_INTERVAL_S,
-            wait_s=math.inf,
-            on_interval=self._report_staleness,
+        search = asyncio.ensure_future(
+            self._search.select(
+                self._build_poll,
+                interval_s=RESELECT_INTERVAL_S,
+                wait_s=math.inf,
+                on_interval=self._report_staleness,
+            )
         )
+        try:
+            await self._wait_for_poll(search, timeout_s=None)
+        finally:
+            await cancel_and_wait(search)
+
+    async def _wait_for_poll(
+        self, *others: asyncio.Future[bool], timeout_s: float | None
+    ) -> bool:
+        """Wait until a poll succeeds, and select its controller.
+
+        Returns False after `timeout_s`, when one of `others` is done, or, without
+        them, when no poll is pending.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + (math.inf if timeout_s is None else timeout_s)
+        while (pending := {*self._polls, *others}) and loop.time() < deadline:
+            done, _ = await asyncio.wait(
+                pending,
+                timeout=None if timeout_s is None else deadline - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for poll in [item for item in self._polls if item in done]:
+                controller = self._polls.pop(poll)
+                if _get_result(poll):
+                    self._search.select_controller(controller)
+                    self._cancel_polls()
+                    return True
+            if done.intersection(others):
+                return False
+        return False
+
+    def _cancel_polls(self) -> None:
+        for poll in self._polls:
+            poll.cancel()
+        self._polls.clear()
+
+    def _is_usable(self, update: FleetUpdate) -> bool:
+        """Return whether a controller may be polled; note its proven revision."""
+        if not is_proven(update):
+            return False
+        self._newest_revision = max(self._newest_revision, update.revision)
+        return update.version >= self._view.version
 
     async def _poll_and_log(self) -> bool:
         """Poll the selected controller; return whether its state is proven current."""
@@ -223,14 +284,11 @@
         sent_at = loop.time()
         try:
             update = await self._network.call(
-                controller, request, timeout=self._poll_timeout_s
+                controller, request, timeout=POLL_TIMEOUT_S
             )
         except PeerUnavailable as error:
             self._log_lost_controller(controller, str(error))
-            doubled = 2 * self._poll_timeout_s
-            self._poll_timeout_s = min(doubled, MAX_POLL_TIMEOUT_S)
             return False
-        self._poll_timeout_s = POLL_TIMEOUT_S
         if not isinstance(update, FleetUpdate):
             return False
         self.add_controllers(update.controllers)
@@ -247,7 +305,8 @@
         if not self._apply_update(update):
             return False
         if is_proven(update):
-            self._state_proven_at = sent_at - update.age_s
+            self._state_proven_at = max(self._state_proven_at, sent_at - update.age_s)
+            self._newest_revision = max(self._newest_revision, update.revision)
         return is_proven(update)
 
     def _apply_update(self, update: FleetUpdate) -> bool:
@@ -351,7 +410,6 @@
             "controller_lost",
             id=controller,
             reason=reason,
-            timeout_s=self._poll_timeout_s,
             state_age_s=self._get_rounded_age(),
         )
 
@@ -388,3 +446,8 @@
     def _get_rounded_age(self) -> float:
         now = asyncio.get_running_loop().time()
         return round(min(self.measure_state_age(now), 1e9), 2)
+
+
+def _get_result(poll: asyncio.Task[bool]) -> bool:
+    """Return the result of a poll that has ended; an error counts as a failure."""
+    return not poll.cancelled() and poll.exception() is None and poll.result()
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -202,6 +202,7 @@
             is_refusing_requests=lambda: self._is_refusing_requests,
             get_latest_deadline=lambda: self._latest_deadline,
             is_state_current=self._is_state_current,
+            has_newest_revision=lambda: self.feed.has_newest_revision(),
         )
         self.handler = RequestHandler(
             admission=self.admission,
--- a/toucanwood/gateway/tests/test_feed_client.py
+++ b/toucanwood/gateway/tests/test_feed_client.py
@@ -36,6 +36,9 @@
     changes: bytes | None = None
     state: bytes = STATE
     signals: list | None = None
+    revision: int = 1
+    # Time that a reply with changes or a state takes on a busy link.
+    content_s: float = 0.0
     sent_states: int = 0
     reports: list = attrs.field(factory=list)
 
@@ -58,6 +61,11 @@
         has_changes = 0 < request.version < version and self.changes is not None
         has_state = request.version < version and not has_changes
         self.sent_states += has_state
+        if has_changes or has_state:
+            await asyncio.sleep(min(self.content_s, timeout))
+            if self.content_s > timeout:
+                reason = "no reply in time"
+                raise PeerUnavailable(controller, reason, Execution.MAY_HAVE_RUN)
         is_proven = asyncio.get_running_loop().time() >= proven_from
         return FleetUpdate(
             version=version,
@@ -66,6 +74,7 @@
             changes=self.changes if has_changes else None,
             signals=self.signals,
             controllers=sorted(self.proven_from),
+            revision=self.revision,
             leader=next(iter(self.proven_from)),
         )
 
@@ -246,3 +255,32 @@
         return seconds
 
     assert run_virtual(main()) < MAX_APPLY_S
+
+
+# Guards against an entry on a busy link that gives up each long reply and asks another
+# controller for the same one.
+def test_long_reply_on_a_busy_link_is_used_when_it_arrives():
+    async def main():
+        names = [f"c{number}" for number in range(9)]
+        network = SimulatedControllers(dict.fromkeys(names, 0.0))
+        view = FleetView()
+        client = build_client(network, view)
+        client.start()
+        await asyncio.sleep(3.0)
+        network.content_s = 1.8
+        network.revision = 2
+        network.state = encode_payload([2, build_routing_document(), [], []])
+        network.versions = dict.fromkeys(names, 2)
+        known_s = await wait_until(lambda: not client.has_newest_revision(), 10.0)
+        applied_s = await wait_until(lambda: view.revision == 2, 10.0)
+        assert client.has_newest_revision()
+        network.content_s = 0.0
+        await asyncio.sleep(1.0)
+        loop = asyncio.get_running_loop()
+        assert client.measure_state_age(loop.time()) < 1.0
+        await client.stop()
+        return known_s, applied_s
+
+    known_s, applied_s = run_virtual(main())
+    assert known_s < 1.5
+    assert applied_s < 2.5
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -355,3 +355,19 @@
         assert len(harness.received) == 4
 
     run_scenario(scenario, ScriptedTarget("t-1"))
+
+
+# Guards against an entry that serves by an old document for as long as it can't fetch
+# the newer one that a controller has proven.
+def test_entry_that_knows_of_a_newer_document_refuses_requests_after_a_while():
+    async def scenario(harness):
+        feed = harness.entry.feed
+        feed.has_newest_revision = lambda: False
+        assert (await harness.send("/safe/x"))[0] == 200
+        feed.measure_state_age = lambda now: 60.0
+        status, headers, _ = await harness.send("/safe/x")
+        assert status == 503 and headers["Toucanwood-Verdict"] == "not-run"
+        feed.has_newest_revision = lambda: True
+        assert (await harness.send("/safe/x"))[0] == 200
+
+    run_scenario(scenario, ScriptedTarget("t-1"))
