Show that disks which are full in turn leave the group able to commit

It doesn't happen here: a replica whose disk refuses a write ends, and starts again until the disk has room. The fake disk can be full.

--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -45,6 +45,8 @@
         self.steps: list[str] = []
         self.max_delay = max_delay
         self.is_crashed = False
+        # A full disk refuses to create files and to append to them.
+        self.is_full = False
         self.on_crash: Callable[[], None] = lambda: None
         self._random = random.Random(seed)
         self._files: dict[str, _File] = {}
@@ -193,6 +195,8 @@
     def _begin_step(self, step: str) -> None:
         self._check_not_crashed()
         self.steps.append(step)
+        if self.is_full and step in ("create", "append"):
+            raise OSError(errno.ENOSPC, "the disk is full")
         fault = self._fault
         if fault is None or fault.step not in (step, "any"):
             return
--- a/toucanwood/consensus/tests/test_replica.py
+++ b/toucanwood/consensus/tests/test_replica.py
@@ -1,17 +1,20 @@
 """Tests of replication, repair and membership changes."""
 
 import asyncio
+import contextlib
 import random
 
 import msgpack
 from returns.result import Failure, Success
 
+from toucanwood.consensus import StorageError
 from toucanwood.consensus._messages import (
     AppendEntries,
     InstallSnapshot,
 )
 from toucanwood.consensus.tests.fixtures import (
     get_core,
+    now,
     on_cluster,
     other_ids,
     propose_many,
@@ -336,3 +339,40 @@
     assert "does not continue" in reason
     await asyncio.sleep(1.0)
     assert replica.lease_age() > 0.8
+
+
+async def run_on_full_disk(cluster, replica_id, seconds):
+    """Fill a disk for a while; start its replica again each time that it fails."""
+    until = now() + seconds
+    while now() < until:
+        cluster.disks[replica_id].is_full = True
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                cluster.replicas[replica_id].wait_failed(), max(until - now(), 0)
+            )
+            await cluster.crash(replica_id)
+            cluster.disks[replica_id] = cluster.disks[replica_id].restart()
+            cluster.disks[replica_id].is_full = True
+            await asyncio.sleep(0.3)
+            with contextlib.suppress(StorageError):
+                await cluster.start(replica_id)
+    cluster.disks[replica_id].is_full = False
+    if cluster.replicas[replica_id]._core.failure.done():
+        await cluster.restart(replica_id)
+
+
+@on_cluster("abc", seeds=3)
+async def test_commands_are_committed_after_disks_were_full_in_turn(cluster):
+    # Guards against a group that refuses commands for good after each disk was full for
+    # a while, though never two at once.
+    for round_number in range(2):
+        for replica_id in cluster.ids:
+            filling = asyncio.create_task(run_on_full_disk(cluster, replica_id, 4.0))
+            await asyncio.sleep(1.0)
+            for number in range(20):
+                command = b"%d %b %d" % (round_number, replica_id.encode(), number)
+                await cluster.propose(command)
+            await filling
+    await propose_many(cluster, b"last ", 20)
+    await cluster.wait_for_convergence()
+    assert sorted(cluster.members().voters) == ["a", "b", "c"]
