Bound the memory that the bodies of requests in progress take

Cause: a body is read as a whole and written to its target from a second copy; each body was bounded, their sum was not.

Change: one budget a process (`body_memory_bytes`, 0.4 of `memory_mb` on the platform). A body claims its declared length, or its parts in chunks, twice; beyond the budget the request is refused at once, not run, with Retry-After (`body_memory_full`), and the rest of its body is dropped. A body that is longer than the budget is read while it is the only one. A controller waits 10 s for a body at most and takes 8 MiB.

test_bodies_beyond_the_memory_for_them_are_refused_at_once covers lengths, chunks, half-sent bodies and the next request of each connection.

--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from toucanwood.httpd import DEFAULT_BODY_MEMORY_BYTES
 from toucanwood.utils import FieldError, MappingReader, ValidationError
 
 
@@ -35,6 +36,8 @@
     # Time in seconds without a sign of life after which another controller may take the
     # place of one in the control group.
     gone_after_s: float = 10.0
+    # Memory that the bodies of requests in progress may take.
+    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
     # The `ip:port` on which metrics are served; None disables them.
     metrics: str | None = None
 
@@ -56,6 +59,9 @@
         for name in ("controllers", "founders"):
             values[name] = tuple(reader.read(name, list) or ())
         values["region_by_data_centre"] = reader.read("region_by_data_centre", Mapping)
+        values["body_memory_bytes"] = reader.read_number(
+            "body_memory_bytes", DEFAULT_BODY_MEMORY_BYTES, low=0, integer=True
+        )
         for name in ("lookup_ttl_s", "stop_grace_s", "gone_after_s"):
             default = getattr(attrs.fields(cls), name).default
             values[name] = reader.read_number(name, default, low=0)
--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -12,7 +12,12 @@
 from toucanwood.fleet import FleetView
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.gateway._request_context import RequestContext, RequestError
-from toucanwood.httpd import BodyError, BodyTooLarge, CallerRequest
+from toucanwood.httpd import (
+    BodyError,
+    BodyMemoryFull,
+    BodyTooLarge,
+    CallerRequest,
+)
 from toucanwood.quota import QuotaEnforcer
 from toucanwood.routing import Organisation, Route, RoutingTable
 from toucanwood.verdicts import refuse
@@ -38,6 +43,7 @@
 # Retry-After of an error that may be due to a stale fleet state. Within this time the
 # entry polls other controllers, which may have a newer state.
 STALE_STATE_RETRY_AFTER_S = 0.5
+BODY_MEMORY_RETRY_AFTER_S = 0.5
 
 
 @attrs.define
@@ -230,6 +236,10 @@
         except TimeoutError as error:
             message = "the request body did not arrive before the deadline"
             raise _refuse("body_timeout", message, 408) from error
+        except BodyMemoryFull as error:
+            raise _refuse(
+                "body_memory_full", str(error), 503, BODY_MEMORY_RETRY_AFTER_S
+            ) from error
         except BodyTooLarge as error:
             raise _refuse("body_too_large", str(error), 413) from error
         except BodyError as error:
--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -18,6 +18,9 @@
 # Maximum bytes of the body of a skipped response. A body without end would be read to
 # the deadline of the request.
 MAX_FOREIGN_BODY_BYTES = 1024 * 1024
+# Longest body that is joined with its head for one write; a join of a longer one would
+# take as much memory again.
+MAX_JOINED_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 0.4
 # Bytes that may be queued on a slow link ahead of the reply to a connection attempt:
 # what two targets send before the entry reads.
@@ -95,7 +98,11 @@
         connection = self._connection
         assert connection is not None
         connection.expect_response(method)
-        connection.write(head + body if body else head, self.progress)
+        if len(body) > MAX_JOINED_BYTES:
+            connection.write(head, self.progress)
+            connection.write(body, self.progress)
+        else:
+            connection.write(head + body, self.progress)
 
     async def receive(self, request_id: str, buffer_bytes: int) -> None:
         """Receive the response with this id: its head and the beginning of its body.
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -19,7 +19,7 @@
 from toucanwood.gateway._load_meter import LoadMeter
 from toucanwood.gateway._prober import Prober
 from toucanwood.gateway._settings import GatewaySettings
-from toucanwood.httpd import HttpServer, Responder, Response
+from toucanwood.httpd import BodyBudget, HttpServer, Responder, Response
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork
 from toucanwood.placement import (
@@ -227,7 +227,11 @@
         )
 
     def _build_servers(self) -> None:
-        self.server = HttpServer(self.handler.handle, limits=self._find_caller_limits)
+        self.server = HttpServer(
+            self.handler.handle,
+            limits=self._find_caller_limits,
+            budget=BodyBudget(self.settings.body_memory_bytes),
+        )
         self.ready_server = HttpServer(self._answer_ready)
         self.metrics_server = MetricsServer(self.metrics, self.settings.metrics)
 
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from toucanwood.httpd import DEFAULT_BODY_MEMORY_BYTES
 from toucanwood.utils import FieldError, MappingReader, ValidationError
 
 
@@ -34,6 +35,8 @@
     # While the fleet state has not been proven current for longer than this, a request
     # with an unknown route or key gets a retryable error instead of a final one.
     max_state_age_s: float = 1.5
+    # Memory that the bodies of requests in progress may take.
+    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
     # Address of the metrics server as `ip:port`; None starts no metrics server.
     metrics: str | None = None
 
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -19,6 +19,7 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestPayloadError
 
+from toucanwood.httpd._body_budget import BodyBudget
 from toucanwood.httpd._request import CallerRequest
 from toucanwood.httpd._response import (
     Response,
@@ -159,6 +160,7 @@
         limits: Callable[[], CallerLimits],
         registry: "set[Connection]",
         is_stopping: Callable[[], bool],
+        budget: BodyBudget,
     ) -> None:
         loop = asyncio.get_running_loop()
         size = limits().header_bytes
@@ -176,6 +178,7 @@
         self._limits = limits
         self._registry = registry
         self._is_stopping = is_stopping
+        self._budget = budget
         self._responders: deque[Responder] = deque()
         self._last_body: StreamReader | None = None
         self._header_bytes = 0
@@ -305,7 +308,9 @@
         if self._is_closing:
             return
         self._last_body = payload
-        request = CallerRequest(message, payload, self._loop.time(), self.peer)
+        request = CallerRequest(
+            message, payload, self._loop.time(), self.peer, self._budget
+        )
         responder = Responder(self, request, closes_connection=message.should_close)
         self._responders.append(responder)
         if message.should_close:
@@ -332,6 +337,7 @@
             log.exception("request_failed", error=repr(error))
             self.abort()
         finally:
+            responder.request.release_body()
             if not responder.is_finished and not self._is_closing:
                 self.abort()
 
--- a/toucanwood/httpd/_request.py
+++ b/toucanwood/httpd/_request.py
@@ -5,6 +5,8 @@
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDictProxy
 
+from toucanwood.httpd._body_budget import BodyBudget
+
 
 class BodyError(Exception):
     """Report that the caller's request body ended early or is malformed."""
@@ -25,6 +27,8 @@
     payload: StreamReader
     arrived_at: float
     peer: str
+    budget: BodyBudget = attrs.field(factory=BodyBudget)
+    _reserved_bytes: int = 0
 
     @property
     def method(self) -> str:
@@ -67,21 +71,34 @@
         return max(int(declared) - self.payload.total_bytes, 0)
 
     async def read_body(self, limit: int) -> bytes:
-        """Return the whole body; raise BodyError or BodyTooLarge."""
+        """Return the whole body; raise BodyError, BodyTooLarge or BodyMemoryFull.
+
+        The body counts for the budget until `release_body`.
+        """
         if not self.has_body:
             return b""
         declared = self.message.headers.get("Content-Length", "")
-        if declared.isdigit() and int(declared) > limit:
-            raise BodyTooLarge(f"the body has {declared} bytes, the limit is {limit}")
+        if declared.isdigit():
+            if int(declared) > limit:
+                message = f"the body has {declared} bytes, the limit is {limit}"
+                raise BodyTooLarge(message)
+            self._reserved_bytes += self.budget.reserve(int(declared))
         parts: list[bytes] = []
         size = 0
         while chunk := await self._read_chunk():
             size += len(chunk)
             if size > limit:
                 raise BodyTooLarge(f"the body has over {limit} bytes")
+            if not declared.isdigit():
+                self._reserved_bytes += self.budget.reserve(len(chunk))
             parts.append(chunk)
         return b"".join(parts)
 
+    def release_body(self) -> None:
+        """End the claim of the body on the budget, once the request has ended."""
+        self.budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     async def _read_chunk(self) -> bytes:
         try:
             return await self.payload.readany()
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from toucanwood.httpd._body_budget import BodyBudget
 from toucanwood.httpd._connection import Connection, Handler, dump_connections
 from toucanwood.httpd._listener import Listener
 from toucanwood.routing import CallerLimits
@@ -21,7 +22,9 @@
         handle: Handler,
         *,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
+        self.budget = budget or BodyBudget()
         self._handle = handle
         self._limits = limits
         self._listener: Listener | None = None
@@ -80,4 +83,5 @@
             limits=self._limits,
             registry=self.connections,
             is_stopping=lambda: self._is_stopping,
+            budget=self.budget,
         )
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -3,15 +3,21 @@
 import socket
 from unittest import mock
 
-from toucanwood.httpd import BodyTooLarge, HttpServer, Response
+from toucanwood.httpd import (
+    BodyBudget,
+    BodyMemoryFull,
+    BodyTooLarge,
+    HttpServer,
+    Response,
+)
 from toucanwood.routing import CallerLimits
 
 ADDRESS = "127.0.0.1"
 
 
 @contextlib.asynccontextmanager
-async def run_server(handle, **limits):
-    server = HttpServer(handle, limits=lambda: CallerLimits(**limits))
+async def run_server(handle, budget=None, **limits):
+    server = HttpServer(handle, limits=lambda: CallerLimits(**limits), budget=budget)
     server.start(f"{ADDRESS}:0")
     try:
         yield server
@@ -417,3 +423,50 @@
             writer.close()
 
     asyncio.run(main())
+
+
+# Guards against a process that exceeds its memory, and loses the requests of all
+# callers, because many of them send bodies at once.
+def test_bodies_beyond_the_memory_for_them_are_refused_at_once():
+    held = asyncio.Event()
+
+    async def handle(responder):
+        try:
+            body = await responder.request.read_body(10**7)
+        except BodyMemoryFull:
+            await responder.send(Response(503))
+            return
+        await held.wait()
+        await responder.send(Response(200, body=b"%d" % len(body)))
+
+    async def main():
+        budget = BodyBudget(limit_bytes=4_000_000)
+        async with run_server(handle, budget) as server:
+            for is_chunked in (False, True):
+                held.clear()
+                extra, body = build_body(500_000, is_chunked)
+                connections = [await connect(server) for _ in range(10)]
+                for _, writer in connections:
+                    writer.write(build_request("/", extra, "POST") + body[:-10])
+                await asyncio.sleep(0.3)
+                assert budget.used_bytes <= budget.limit_bytes
+                for _, writer in connections:
+                    writer.write(body[-10:])
+                held.set()
+                async with asyncio.timeout(5.0):
+                    results = [await read_response(item) for item, _ in connections]
+                statuses = [status for status, _, _ in results]
+                assert 0 < statuses.count(200) <= 4
+                assert statuses.count(503) == 10 - statuses.count(200)
+                for reader, writer in connections:
+                    writer.write(build_request("/"))
+                    assert (await read_response(reader))[0] == 200
+                    writer.close()
+            assert budget.used_bytes == 0
+            reader, writer = await connect(server)
+            extra, body = build_body(5_000_000, is_chunked=False)
+            writer.write(build_request("/", extra, "POST") + body)
+            assert (await read_response(reader))[:2] == (200, b"5000000")
+            writer.close()
+
+    asyncio.run(main())
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -1,5 +1,6 @@
 """The HTTP interface of a controller for operators, targets and callers."""
 
+import asyncio
 import hashlib
 import hmac
 import json
@@ -21,6 +22,7 @@
 )
 from toucanwood.httpd import (
     BodyError,
+    BodyMemoryFull,
     BodyTooLarge,
     CallerRequest,
     Responder,
@@ -33,7 +35,8 @@
 log = structlog.get_logger()
 
 PREFIX = "/.toucanwood/"
-MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+BODY_TIMEOUT_S = 10.0
 STATUS_BY_ORDER_STATUS = {OrderStatus.CONFLICT: 412, OrderStatus.INVALID: 422}
 
 ApiHandler = Callable[[CallerRequest, str], Awaitable[dict[str, Any]]]
@@ -89,6 +92,10 @@
             response = build_error_response(error.verdict)
         except ValueError as error:
             response = _refuse_call("body_invalid", str(error), 400)
+        except BodyMemoryFull as error:
+            response = _refuse_call("body_memory_full", str(error), 503)
+        except TimeoutError:
+            response = _refuse_call("body_timeout", "the body did not arrive", 408)
         except BodyTooLarge as error:
             response = _refuse_call("body_too_large", str(error), 413)
         except BodyError as error:
@@ -246,7 +253,8 @@
 
 
 async def _read_json(request: CallerRequest) -> Any:
-    data = await request.read_body(MAX_BODY_BYTES)
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        data = await request.read_body(MAX_BODY_BYTES)
     try:
         return decode_json(data)
     except ValueError as error:
--- a/toucanwood/programs/_programs.py
+++ b/toucanwood/programs/_programs.py
@@ -9,7 +9,7 @@
 
 from toucanwood.controller import ControllerInstance
 from toucanwood.gateway import GatewayInstance
-from toucanwood.httpd import HttpServer
+from toucanwood.httpd import BodyBudget, HttpServer
 from toucanwood.programs._control_api import ControlApi
 from toucanwood.programs._settings import ControllerRole, EntryRole
 from toucanwood.utils import run_program
@@ -28,7 +28,8 @@
             operator_token_sha256=role.operator_token_sha256,
             target_token_sha256=role.target_token_sha256,
         )
-        self._server = HttpServer(api.handle)
+        budget = BodyBudget(role.controller.body_memory_bytes)
+        self._server = HttpServer(api.handle, budget=budget)
 
     async def start(self) -> None:
         """Start the controller, then listen for requests."""
