--- a/toucanwood/routing/_table.py
+++ b/toucanwood/routing/_table.py
@@ -1,5 +1,6 @@
 """The routing table, built from a routing document."""
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -179,8 +180,13 @@
     for child in reader.read_items("splits"):
         name = child.read("service", str) or ""
         splits.append(Split(name, child.read_number("weight", low=0) or 0.0))
-    if sum(split.weight for split in splits) <= 0:
+    total = sum(split.weight for split in splits)
+    if total <= 0:
         reader.add_error("splits", len(splits), "weights that add up to more than 0")
+    if not math.isfinite(total):
+        # Only the proportions count, and shares of an infinite sum are not defined.
+        highest = max(split.weight for split in splits)
+        splits = [Split(item.service, item.weight / highest) for item in splits]
     return tuple(splits)
 
 
--- a/toucanwood/routing/tests/test_table.py
+++ b/toucanwood/routing/tests/test_table.py
@@ -80,6 +80,15 @@
         assert get_validation_error(build_document([build_route(splits=splits)]))
 
 
+# Guards against shares that are not defined, although each weight is a finite number.
+def test_weights_with_an_infinite_sum_keep_their_proportions():
+    splits = [{"service": name, "weight": 1e308} for name in "sst"]
+    route = build_route(splits=splits)
+    table = RoutingTable.from_config(build_document([route]))
+    matched = table.match(route["host"], route["prefix"] + "x")
+    assert [split.weight for split in matched.splits] == [1.0, 1.0, 1.0]
+
+
 def test_objective_a_minute_above_the_timeout_is_rejected():
     assert get_validation_error(build_document([build_route(objective_ms=61_000)]))
     assert not get_validation_error(build_document([build_route(objective_ms=60_999)]))
