--- a/soak/_simulated_fleet.py
+++ b/soak/_simulated_fleet.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import functools
 from unittest import mock
 
 import toucanwood.controller._instance as controller_instance
+from toucanwood.consensus import Replica
 from toucanwood.consensus.testing import FakeDisk
 from toucanwood.controller import AnnounceEntry, ControllerInstance, ControllerSettings
 from toucanwood.fleet import FleetView
@@ -13,6 +15,8 @@
 from toucanwood.quota import QuotaEnforcer
 
 FOUNDERS = ("c0", "c1", "c2")
+# Snapshots within the time of a schedule, so that followers that lag receive them.
+SNAPSHOT_LIMITS = {"snapshot_entries": 30, "keep_entries": 10}
 
 
 class SimulatedTransport(FakeTransport):
@@ -92,6 +96,7 @@
         with contextlib.ExitStack() as stack:
             replacements = {
                 "PeerNetwork": self._build_transport,
+                "Replica": functools.partial(Replica, **SNAPSHOT_LIMITS),
                 "FileDisk": self._disks.get,
                 "MetricsServer": mock.MagicMock(),
                 "find_program_start": asyncio.get_running_loop().time,
@@ -113,6 +118,10 @@
         await controller.replica._core.tasks.stop()
         await controller._tasks.stop()
 
+    def fill_disk(self, name):
+        """Let the disk of a controller refuse writes until its next start."""
+        self._disks[name].is_full = True
+
     def find_leader(self):
         """Return the name of the leader, or None."""
         return next(
@@ -120,10 +129,13 @@
             None,
         )
 
-    def cut(self, pairs):
-        """Drop all messages of pairs of sender and receiver; return a number for it."""
+    def cut(self, pairs, *, holds=False):
+        """Drop, or hold, all messages of pairs of sender and receiver.
+
+        Returns a number for the cut.
+        """
         self._cut_count += 1
-        self._cuts[self._cut_count] = pairs
+        self._cuts[self._cut_count] = pairs, holds
         self._apply_cuts()
         return self._cut_count
 
@@ -131,12 +143,14 @@
         """End the cut with a number."""
         del self._cuts[number]
         self._apply_cuts()
+        self.network.release_held()
 
     def _apply_cuts(self):
         self.network.heal()
-        for pairs in self._cuts.values():
+        for pairs, holds in self._cuts.values():
+            faults = LinkFaults(is_cut=True, holds=holds)
             for sender, receiver in pairs:
-                self.network.set_faults(sender, receiver, LinkFaults(is_cut=True))
+                self.network.set_faults(sender, receiver, faults)
 
     def _build_transport(self, *, instance_id, address, secret):
         return self.network.create_transport(instance_id)
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -1,7 +1,8 @@
 """Run ``python -m soak.schedules --seeds 100``: schedules of faults in virtual time.
 
-Each seed draws crashes, lost disks, replaced controllers, cuts, partitions into halves
-and bad links beside changes of the configuration, and checks when these are in force.
+Each seed draws crashes, lost and full disks, replaced controllers, cuts that drop or
+hold messages, ended connections, partitions into halves and bad links beside changes of
+the configuration and evacuations, and checks when these are in force.
 """
 
 import asyncio
@@ -16,7 +17,7 @@
 from returns.result import Success
 
 from soak._simulated_fleet import SimulatedFleet
-from toucanwood.fleet import OrderStatus, PutRouting
+from toucanwood.fleet import OrderStatus, PutRouting, SetEvacuation
 from toucanwood.peering.testing import LinkFaults
 from toucanwood.utils import run_virtual
 
@@ -36,6 +37,12 @@
 # Time between two losses of a disk, in which the group repairs the first one.
 DISK_LOSS_INTERVAL_S = 8.0
 MAX_VIOLATIONS = 5
+# Connections end after this time without a message, and held messages are lost.
+MAX_HOLD_S = 1.8
+MEAN_RESET_PAUSE_S = 0.002
+# How long an operator sends an evacuation order again, to one controller after another.
+ORDER_PATIENCE_S = 4.0
+ZONE = "a"
 
 
 @attrs.define
@@ -57,6 +64,8 @@
     _unstable_times: list = attrs.field(factory=list)
     _disk_lost_at: float = float("-inf")
     _last_revision: int = 0
+    # Whether the zone has to be evacuated and since when, None while that is unknown.
+    _evacuation: tuple | None = None
     _tasks: set = attrs.field(factory=set)
 
     async def run(self):
@@ -66,7 +75,12 @@
         await self._fleet.start()
         await asyncio.sleep(START_S)
         self._disturb_group()
-        for coroutine in (self._change(), self._check(), self._inject_faults()):
+        for coroutine in (
+            self._change(),
+            self._evacuate(),
+            self._check(),
+            self._inject_faults(),
+        ):
             self._start(coroutine)
         await asyncio.sleep(self.seconds + RECOVERY_S)
         for task in list(self._tasks):
@@ -112,6 +126,31 @@
             if result.unwrap().status is OrderStatus.ACCEPTED:
                 self.acknowledged.append((revision, self._now()))
 
+    async def _evacuate(self):
+        """Start and end the evacuation of a zone, one order after the other."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.1, 5.0))
+            self._evacuation = None
+            is_evacuated = self._rng.random() < 0.5
+            give_up_at = self._now() + ORDER_PATIENCE_S
+            while self._now() < give_up_at and self._evacuation is None:
+                if self._fleet.running:
+                    controller = self._rng.choice(list(self._fleet.running.values()))
+                    order = SetEvacuation(ZONE, is_evacuated)
+                    if isinstance(await controller.submit(order), Success):
+                        self._evacuation = is_evacuated, self._now()
+                await asyncio.sleep(0.05)
+
+    def _check_evacuation(self, name, controller, now):
+        if self._evacuation is None or now - self._evacuation[1] < APPLY_S:
+            return
+        expected, acknowledged_at = self._evacuation
+        if (ZONE in controller.state.evacuated) != expected:
+            self._add_violation(
+                f"{name} has evacuated={not expected}; {expected} was acknowledged "
+                f"{now - acknowledged_at:.1f} s before"
+            )
+
     async def _check(self):
         revisions = dict.fromkeys(self._fleet.entry_names, 0)
         while True:
@@ -121,7 +160,10 @@
             newest = max((revision for revision, _ in due), default=0)
             for name, controller in self._fleet.running.items():
                 result = controller.read_routing()
-                if isinstance(result, Success) and result.unwrap()[0] < newest:
+                if not isinstance(result, Success):
+                    continue
+                self._check_evacuation(name, controller, now)
+                if result.unwrap()[0] < newest:
                     self._add_violation(
                         f"{name} read r{result.unwrap()[0]} of r{newest}"
                     )
@@ -167,6 +209,9 @@
             "replace": self._replace,
             "cut": self._cut,
             "cut_leader": self._cut_leader,
+            "hold": self._hold,
+            "reset": self._reset_connections,
+            "fill_disk": self._fill_disk,
             "one_way": self._cut_one_way,
             "split": self._split,
             "links": self._disturb_links,
@@ -262,8 +307,36 @@
         pairs = {(a, b) for a in names for b in names if (a in half) != (b in half)}
         await self._hold_cut(pairs, duration_s)
 
-    async def _hold_cut(self, pairs, duration_s):
-        number = self._fleet.cut(pairs)
+    async def _hold(self, duration_s):
+        """Cut a controller from the others; its messages arrive when the cut ends."""
+        name = self._pick_controller()
+        others = set(self._fleet.controller_names) - {name}
+        pairs = {(name, other) for other in others}
+        pairs |= {(other, name) for other in others}
+        await self._hold_cut(pairs, min(duration_s, MAX_HOLD_S), holds=True)
+
+    async def _reset_connections(self, duration_s):
+        """End connections between controllers, with the handlers of their messages."""
+        until = self._now() + duration_s
+        while self._now() < until:
+            sender, receiver = self._rng.sample(self._fleet.controller_names, 2)
+            self._fleet.network.reset(sender, receiver)
+            await asyncio.sleep(self._rng.expovariate(1 / MEAN_RESET_PAUSE_S))
+
+    async def _fill_disk(self, duration_s):
+        """Fill the disk of a controller; a supervisor starts it again and again."""
+        name = self._pick_controller()
+        until = self._now() + duration_s
+        while self._now() < until:
+            self._fleet.fill_disk(name)
+            failed = asyncio.ensure_future(self._fleet.running[name].wait_failed())
+            await asyncio.wait({failed}, timeout=until - self._now())
+            failed.cancel()
+            await self._crash(0.3, name)
+            self._disturb_group()
+
+    async def _hold_cut(self, pairs, duration_s, *, holds=False):
+        number = self._fleet.cut(pairs, holds=holds)
         await asyncio.sleep(duration_s)
         self._fleet.join(number)
 
--- a/toucanwood/peering/testing.py
+++ b/toucanwood/peering/testing.py
@@ -25,6 +25,9 @@
     drop: float = 0.0
     duplicate: float = 0.0
     is_cut: bool = False
+    # A cut link holds messages back until `FakeNetwork.release_held`, and drops them
+    # otherwise.
+    holds: bool = False
 
 
 class FakeNetwork:
@@ -35,6 +38,7 @@
         self.faults: dict[tuple[str, str], LinkFaults] = {}
         self.default_faults = LinkFaults()
         self.delivered_bytes: dict[str, int] = {}
+        self._held: list[tuple[str, str, bytes, Any]] = []
         self._transports: dict[str, FakeTransport] = {}
 
     def create_transport(self, instance_id: str) -> "FakeTransport":
@@ -77,6 +81,12 @@
         """Remove the faults of all links; `default_faults` stays in force."""
         self.faults.clear()
 
+    def release_held(self) -> None:
+        """Deliver the messages that cut links have held back."""
+        held, self._held = self._held, []
+        for message in held:
+            self.deliver(*message)
+
     def list_reachable_peers(self, instance_id: str) -> frozenset[str]:
         """Return the live instances that are reachable in both directions."""
         return frozenset(
@@ -90,6 +100,9 @@
     def deliver(self, sender: str, receiver: str, encoded: bytes, handle: Any) -> None:
         """Schedule the delivery of a message after its delay, with its faults."""
         faults = self._get_faults(sender, receiver)
+        if faults.is_cut and faults.holds:
+            self._held.append((sender, receiver, encoded, handle))
+            return
         if faults.is_cut or self.random.random() < faults.drop:
             return
         copies = 2 if self.random.random() < faults.duplicate else 1
