Crash the leader at any disk step of a controller that catches up

The new fault of the schedules picks any step of the disk of a controller that has just been started again. Evacuation orders follow each other closely now, so that a held one is overtaken.

--- a/soak/_simulated_fleet.py
+++ b/soak/_simulated_fleet.py
@@ -118,6 +118,17 @@
         await controller.replica._core.tasks.stop()
         await controller._tasks.stop()
 
+    def call_at_disk_step(self, name, countdown, callback):
+        """Call back once before a later step of the disk of a running controller."""
+
+        def count_step(step):
+            nonlocal countdown
+            countdown -= 1
+            if countdown == 0:
+                callback()
+
+        self._disks[name].on_step = count_step
+
     def fill_disk(self, name):
         """Let the disk of a controller refuse writes until its next start."""
         self._disks[name].is_full = True
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import random
 import sys
@@ -42,6 +43,8 @@
 MEAN_RESET_PAUSE_S = 0.002
 # How long an operator sends an evacuation order again, to one controller after another.
 ORDER_PATIENCE_S = 4.0
+ORDER_PAUSES_S = (0.05, 0.2, 4.0)
+MAX_DISK_STEPS = 12
 ZONE = "a"
 
 
@@ -129,7 +132,7 @@
     async def _evacuate(self):
         """Start and end the evacuation of a zone, one order after the other."""
         while True:
-            await asyncio.sleep(self._rng.uniform(0.1, 5.0))
+            await asyncio.sleep(self._rng.choice(ORDER_PAUSES_S))
             self._evacuation = None
             is_evacuated = self._rng.random() < 0.5
             give_up_at = self._now() + ORDER_PATIENCE_S
@@ -205,6 +208,7 @@
         kinds = {
             "crash": self._crash,
             "crash_leader": self._crash_leader,
+            "crash_in_recovery": self._crash_in_recovery,
             "lose_disk": self._lose_disk,
             "replace": self._replace,
             "cut": self._cut,
@@ -257,6 +261,18 @@
     async def _crash_leader(self, duration_s):
         await self._crash(duration_s, self._pick_leader())
 
+    async def _crash_in_recovery(self, duration_s):
+        """Crash the leader at any disk step of a controller that catches up."""
+        name = self._pick_controller()
+        await self._crash(duration_s, name)
+        reached = asyncio.Event()
+        self._fleet.call_at_disk_step(
+            name, self._rng.randint(1, MAX_DISK_STEPS), reached.set
+        )
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reached.wait(), MAX_FAULT_S)
+        await self._crash_leader(duration_s)
+
     def _may_lose_disk(self):
         is_repaired = self._now() - self._disk_lost_at > DISK_LOSS_INTERVAL_S
         if is_repaired:
--- a/toucanwood/consensus/testing.py
+++ b/toucanwood/consensus/testing.py
@@ -48,6 +48,8 @@
         # A full disk refuses to create files and to append to them.
         self.is_full = False
         self.on_crash: Callable[[], None] = lambda: None
+        # Called before each step with its name.
+        self.on_step: Callable[[str], None] = lambda step: None
         self._random = random.Random(seed)
         self._files: dict[str, _File] = {}
         self._durable_files: dict[str, _File] = {}
@@ -195,6 +197,7 @@
     def _begin_step(self, step: str) -> None:
         self._check_not_crashed()
         self.steps.append(step)
+        self.on_step(step)
         if self.is_full and step in ("create", "append"):
             raise OSError(errno.ENOSPC, "the disk is full")
         fault = self._fault
