Let the soak draw long bodies, chunks, early responses and kept connections

Downloads of up to 3 MB come with a length or in chunks, with content that looks like framing; bodies of requests have up to 900,000 bytes, a length or chunks, or are sent by halves; long requests with an unknown key are refused early and followed by another one on the same connection. A download that is cut, or a request behind a refusal without an answer, breaks an invariant unless a fault on its way excuses it.

--- a/soak/_history.py
+++ b/soak/_history.py
@@ -25,6 +25,8 @@
     organisation: str
     run_counts: dict = attrs.field(factory=dict)
     unsafe_ids: set = attrs.field(factory=set)
+    download_ids: set = attrs.field(factory=set)
+    target_ids: set = attrs.field(factory=set)
     responses: dict = attrs.field(factory=dict)
     acknowledged: list = attrs.field(factory=list)
     drained_at: dict = attrs.field(factory=dict)
@@ -32,6 +34,11 @@
     post_recovery_results: list = attrs.field(factory=list)
     # The entry and the time to which and at which each request was sent.
     sent: dict = attrs.field(factory=dict)
+    # The bodies that targets have sent for each request.
+    bodies: dict = attrs.field(factory=dict)
+    # Responses that didn't come or are cut: the names of the processes and links on
+    # their way, begin, end, description. A fault of one of them excuses it.
+    interrupted: list = attrs.field(factory=list)
 
     def record_run(self, request_id, target, request_line, headers):
         """Record a request that a target received, and check its headers."""
@@ -61,6 +68,10 @@
         if request_id in self.sent:
             signals.arrivals.append((*self.sent[request_id], time.monotonic()))
 
+    def record_body(self, request_id, body):
+        """Record the body of the response of a target."""
+        self.bodies.setdefault(request_id, []).append(body)
+
     def record_response(self, request_id, response, *, is_after_recovery_period):
         """Record a response (None if there was none) and check its content."""
         self.responses[request_id] = response
@@ -70,8 +81,14 @@
             )
         if response is None or response.status != 200:
             return
-        if not response.is_complete or not response.body.startswith(
-            request_id.encode()
+        if not response.is_complete and request_id in self.download_ids:
+            entry, begin = self.sent[request_id]
+            message = f"{request_id}: cut after {len(response.body)} bytes at {entry}"
+            names = {entry, *self.target_ids}
+            self.interrupted.append((names, begin, time.monotonic(), message))
+            return
+        if not response.is_complete or response.body not in self.bodies.get(
+            request_id, ()
         ):
             self.violations.append(
                 f"{request_id}: got a wrong body {response.body[:40]!r}"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,7 +11,7 @@
 
 from soak._fleet import Fleet
 from soak._history import History
-from soak._http import send_json, send_request
+from soak._http import encode_request, read_response, send_json, send_request
 from soak._proxy import LinkFault, Proxy
 from soak._signals import (
     LEAVING_S,
@@ -27,6 +27,13 @@
 TARGET_COUNT = 5
 CALLER_COUNT = 6
 CALLER_PAUSE_S = 0.03
+ROUTE_TYPES = ("safe", "safe", "unsafe", "unsafe", "download")
+# Bytes of the bodies of requests, and the sizes of their chunks; 0 stands for a length.
+BODY_BYTES = (0, 5, 5, 5, 100_000, 300_000)
+CHUNK_BYTES = (0, 0, 1_000, 70_000)
+# Bytes of the bodies of requests with an unknown key, which are refused early.
+REFUSED_BODY_BYTES = (0, 1_000, 140_000, 900_000)
+NEXT_ANSWER_S = 3.0
 # Fraction of faults that hit network links; the others hit processes and disks.
 LINK_FAULT_FRACTION = 0.4
 DISK_FAULTS = ("lose_disk", "tear_write")
@@ -42,14 +49,14 @@
             "host": "shop.example",
             "path_prefix": f"/{route_type}/",
             "type": route_type,
-            "timeout_ms": 1000,
+            "timeout_ms": 3000 if route_type == "download" else 1000,
             "target_latency_ms": 500,
             "priority": 1,
             "service": "s",
             "max_attempts": 2,
             "sticky": True,
         }
-        for route_type in ("safe", "unsafe")
+        for route_type in ("safe", "unsafe", "download")
     ],
     "services": [{"name": "s", "health_path": "/health"}],
     "tenants": [
@@ -109,6 +116,11 @@
         for target in self._targets:
             for signals in target.signals:
                 violations += signals.check(self._fault_times)
+        violations += [
+            message
+            for names, begin, end, message in self._history.interrupted
+            if not self._fault_times.disturbed(names, begin, end)
+        ]
         if violations:
             violations.append(f"logs are in {self._fleet.folder}")
         else:
@@ -149,6 +161,7 @@
             )
             await target.start()
             self._targets.append(target)
+            self._history.target_ids.add(target.id)
 
     async def _apply_first_config(self):
         deadline = time.monotonic() + START_TIMEOUT_S
@@ -208,26 +221,79 @@
         is_unsafe = route_type == "unsafe"
         if is_unsafe:
             self._history.unsafe_ids.add(request_id)
+        if route_type == "download":
+            self._history.download_ids.add(request_id)
         is_after_recovery_period = self._is_after_recovery_period
         response = await send_request(
             self._fleet.get_proxy_address(self._fleet.get_entry_address(name)),
             "POST" if is_unsafe else "GET",
             f"/{route_type}/x",
-            headers={
-                "X-Request-Id": request_id,
-                "X-Deadline-Remaining": "1500",
-                "Authorization": f"Bearer {API_KEY}",
-                "Cookie": f"X-Affinity-Key={self._rng.randrange(20)}",
-            },
-            body=b"order" if is_unsafe else b"",
+            headers=self._build_headers(
+                request_id,
+                deadline_ms=4000 if route_type == "download" else 1500,
+            ),
+            timeout=5.0,
+            body=b"o" * self._rng.choice(BODY_BYTES) if is_unsafe else b"",
+            chunk_bytes=self._rng.choice(CHUNK_BYTES) if is_unsafe else 0,
         )
         self._history.record_response(
             request_id, response, is_after_recovery_period=is_after_recovery_period
         )
         return response is not None and response.status == 200
 
+    def _build_headers(self, request_id, key=API_KEY, deadline_ms=1500):
+        return {
+            "X-Request-Id": request_id,
+            "X-Deadline-Remaining": str(deadline_ms),
+            "Authorization": f"Bearer {key}",
+            "Cookie": f"X-Affinity-Key={self._rng.randrange(20)}",
+        }
+
+    async def _run_refused_caller(self):
+        """Send long requests that are refused early, and others behind them."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.1, 0.4))
+            name = self._rng.choice(self._fleet.entries)
+            with contextlib.suppress(OSError, EOFError, TimeoutError, ValueError):
+                await self._send_behind_refusal(name)
+
+    async def _send_behind_refusal(self, name):
+        address = self._fleet.get_proxy_address(self._fleet.get_entry_address(name))
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = b"r" * self._rng.choice(REFUSED_BODY_BYTES)
+        request_id = f"q{self._seed}-{next(self._request_numbers)}"
+        refused = encode_request(
+            "POST",
+            "/safe/x",
+            self._build_headers(f"{request_id}-refused", "unknown"),
+            body,
+            chunk_bytes=self._rng.choice(CHUNK_BYTES),
+        )
+        half = self._rng.choice([len(refused), len(refused) // 2 + 1])
+        try:
+            writer.write(refused[:half])
+            async with asyncio.timeout(NEXT_ANSWER_S):
+                if (await read_response(reader)).status != 401:
+                    return
+            self._history.record_sent(request_id, name)
+            headers = self._build_headers(request_id)
+            request = encode_request("GET", "/safe/x", headers)
+            writer.write(refused[half:] + request)
+            begin = time.monotonic()
+            try:
+                async with asyncio.timeout(NEXT_ANSWER_S):
+                    await read_response(reader)
+            except TimeoutError:
+                message = f"{request_id}: no answer behind a refusal at {name}"
+                end = time.monotonic()
+                self._history.interrupted.append(({name}, begin, end, message))
+        finally:
+            writer.transport.abort()
+
     async def _run_phases(self):
         callers = [asyncio.create_task(self._run_caller()) for _ in range(CALLER_COUNT)]
+        callers.append(asyncio.create_task(self._run_refused_caller()))
         operator = asyncio.create_task(self._run_operator())
         signals = asyncio.create_task(self._change_signals())
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
@@ -255,7 +321,7 @@
     async def _run_caller(self):
         while True:
             name = self._rng.choice(self._fleet.entries)
-            await self._send_request(name, self._rng.choice(["safe", "unsafe"]))
+            await self._send_request(name, self._rng.choice(ROUTE_TYPES))
             await asyncio.sleep(CALLER_PAUSE_S)
 
     async def _change_signals(self):
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -6,7 +6,7 @@
 
 from multidict import CIMultiDict
 
-from soak._http import send_json
+from soak._http import encode_chunks, send_json
 from soak._signals import TargetSignals
 
 SLOTS = 4
@@ -16,6 +16,10 @@
 # Probability that a target sends its last response of a connection once more, an
 # answer or a refusal, when the connection is in use again.
 REPEAT_PROBABILITY = 0.03
+# Bytes of the responses to downloads, what they consist of, and the sizes of chunks.
+DOWNLOAD_BYTES = (0, 20_000, 150_000, 600_000, 3_000_000)
+FILLERS = (b"x" * 1000, b"line\n\n", b"\r\n\r\n0\r\n\r\n")
+CHUNK_BYTES = (1_460, 16_384, 300_000)
 
 
 class FaultyTarget:
@@ -145,12 +149,27 @@
             # Drops the response after the request has run.
             writer.transport.abort()
             return False
-        self._write_response(writer, 200, request_id, request_id.encode() + body)
+        body = request_id.encode() + body
+        is_chunked = False
+        if request_line.split()[1].startswith("/download/"):
+            filler = self._rng.choice(FILLERS)
+            body += filler * (self._rng.choice(DOWNLOAD_BYTES) // len(filler))
+            is_chunked = self._rng.random() < 0.5
+        self._history.record_body(request_id, body)
+        self._write_response(writer, 200, request_id, body, is_chunked=is_chunked)
         await writer.drain()
         return True
 
     def _write_response(
-        self, writer, status, request_id, body, *, signed=True, not_run=False
+        self,
+        writer,
+        status,
+        request_id,
+        body,
+        *,
+        signed=True,
+        not_run=False,
+        is_chunked=False,
     ):
         """Write a response with the signals of the present incarnation."""
         head_lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {request_id}"]
@@ -163,7 +182,11 @@
         entry = self._history.find_entry(request_id)
         if entry is not None and status != 421:
             head_lines += self.signals[-1].build_headers(entry, is_refusal=not_run)
-        head_lines.append(f"Content-Length: {len(body)}")
+        if is_chunked:
+            head_lines.append("Transfer-Encoding: chunked")
+            body = encode_chunks(body, self._rng.choice(CHUNK_BYTES))
+        else:
+            head_lines.append(f"Content-Length: {len(body)}")
         response = ("\r\n".join(head_lines) + "\r\n\r\n").encode() + body
         self._last_responses[writer] = response
         writer.write(response)
