--- a/toucanwood/httpd/_body_budget.py
+++ b/toucanwood/httpd/_body_budget.py
@@ -21,13 +21,11 @@
 
     limit_bytes: int = DEFAULT_BODY_MEMORY_BYTES
     used_bytes: int = 0
-    refusals: int = 0
 
     def reserve(self, body_bytes: int) -> int:
         """Reserve memory for a body and return its size; raise BodyMemoryFull."""
         size = COPIES * body_bytes
         if self.used_bytes and self.used_bytes + size > self.limit_bytes:
-            self.refusals += 1
             raise BodyMemoryFull(
                 f"the bodies of other requests take {self.used_bytes} of "
                 f"{self.limit_bytes} bytes"
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -24,9 +24,9 @@
         limits: Callable[[], CallerLimits] = CallerLimits,
         budget: BodyBudget | None = None,
     ) -> None:
-        self.budget = budget or BodyBudget()
         self._handle = handle
         self._limits = limits
+        self._budget = budget or BodyBudget()
         self._listener: Listener | None = None
         self._is_stopping = False
         self.connections: set[Connection] = set()
@@ -83,5 +83,5 @@
             limits=self._limits,
             registry=self.connections,
             is_stopping=lambda: self._is_stopping,
-            budget=self.budget,
+            budget=self._budget,
         )
