--- a/soak/tests/test_schedules.py
+++ b/soak/tests/test_schedules.py
@@ -2,7 +2,7 @@
 
 from soak.schedules import run_schedule
 
-# Seeds to run and their seconds. A seed that has failed is added with a line on its cause.
+# Seeds to run and their seconds. A seed that has failed is added with its cause.
 SEEDS = (
     (1, 30.0),
     (2, 30.0),
