--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,9 +9,10 @@
 
 import attrs
 
+from soak._callers import CHUNK_BYTES, RefusedCaller
 from soak._fleet import Fleet
 from soak._history import History
-from soak._http import encode_request, read_response, send_json, send_request
+from soak._http import send_json, send_request
 from soak._proxy import LinkFault, Proxy
 from soak._signals import (
     LEAVING_S,
@@ -28,12 +29,8 @@
 CALLER_COUNT = 6
 CALLER_PAUSE_S = 0.03
 ROUTE_TYPES = ("safe", "safe", "unsafe", "unsafe", "download")
-# Bytes of the bodies of requests, and the sizes of their chunks; 0 stands for a length.
+# Bytes of the bodies of requests.
 BODY_BYTES = (0, 5, 5, 5, 100_000, 300_000)
-CHUNK_BYTES = (0, 0, 1_000, 70_000)
-# Bytes of the bodies of requests with an unknown key, which are refused early.
-REFUSED_BODY_BYTES = (0, 1_000, 140_000, 900_000)
-NEXT_ANSWER_S = 3.0
 # Fraction of faults that hit network links; the others hit processes and disks.
 LINK_FAULT_FRACTION = 0.4
 DISK_FAULTS = ("lose_disk", "tear_write")
@@ -216,7 +213,7 @@
                 await asyncio.sleep(0.1)
 
     async def _send_request(self, name, route_type):
-        request_id = f"q{self._seed}-{next(self._request_numbers)}"
+        request_id = self._build_request_id()
         self._history.record_sent(request_id, name)
         is_unsafe = route_type == "unsafe"
         if is_unsafe:
@@ -241,6 +238,9 @@
         )
         return response is not None and response.status == 200
 
+    def _build_request_id(self):
+        return f"q{self._seed}-{next(self._request_numbers)}"
+
     def _build_headers(self, request_id, key=API_KEY, deadline_ms=1500):
         return {
             "X-Request-Id": request_id,
@@ -249,51 +249,16 @@
             "Cookie": f"X-Affinity-Key={self._rng.randrange(20)}",
         }
 
-    async def _run_refused_caller(self):
-        """Send long requests that are refused early, and others behind them."""
-        while True:
-            await asyncio.sleep(self._rng.uniform(0.1, 0.4))
-            name = self._rng.choice(self._fleet.entries)
-            with contextlib.suppress(OSError, EOFError, TimeoutError, ValueError):
-                await self._send_behind_refusal(name)
-
-    async def _send_behind_refusal(self, name):
-        address = self._fleet.get_proxy_address(self._fleet.get_entry_address(name))
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        body = b"r" * self._rng.choice(REFUSED_BODY_BYTES)
-        request_id = f"q{self._seed}-{next(self._request_numbers)}"
-        refused = encode_request(
-            "POST",
-            "/safe/x",
-            self._build_headers(f"{request_id}-refused", "unknown"),
-            body,
-            chunk_bytes=self._rng.choice(CHUNK_BYTES),
-        )
-        half = self._rng.choice([len(refused), len(refused) // 2 + 1])
-        try:
-            writer.write(refused[:half])
-            async with asyncio.timeout(NEXT_ANSWER_S):
-                if (await read_response(reader)).status != 401:
-                    return
-            self._history.record_sent(request_id, name)
-            headers = self._build_headers(request_id)
-            request = encode_request("GET", "/safe/x", headers)
-            writer.write(refused[half:] + request)
-            begin = time.monotonic()
-            try:
-                async with asyncio.timeout(NEXT_ANSWER_S):
-                    await read_response(reader)
-            except TimeoutError:
-                message = f"{request_id}: no answer behind a refusal at {name}"
-                end = time.monotonic()
-                self._history.interrupted.append(({name}, begin, end, message))
-        finally:
-            writer.transport.abort()
-
     async def _run_phases(self):
         callers = [asyncio.create_task(self._run_caller()) for _ in range(CALLER_COUNT)]
-        callers.append(asyncio.create_task(self._run_refused_caller()))
+        refused_caller = RefusedCaller(
+            self._fleet,
+            self._history,
+            self._rng,
+            next_id=self._build_request_id,
+            build_headers=self._build_headers,
+        )
+        callers.append(asyncio.create_task(refused_caller.run()))
         operator = asyncio.create_task(self._run_operator())
         signals = asyncio.create_task(self._change_signals())
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
