Don't blame targets when the entry has no free file

Cause: a failed socket() on the entry's own side was reported as TargetUnreachable. Up to four targets were tried for each request, each got a strike, and idle connections to targets kept the files that were missing.

Now the client closes the idle connections to targets that are idle longest and tries once more. If there is still no file, the request is refused at once as not run (no_free_file, Retry-After), no target gets a strike, and probes that couldn't be sent don't count. The product's own entry ends such an attempt as unused. An upper bound on idle connections over all targets can be set.

--- a/toucanwood/entry/_forwarder.py
+++ b/toucanwood/entry/_forwarder.py
@@ -18,7 +18,12 @@
 from toucanwood.entry._request_context import RequestContext, RequestError, unwrap
 from toucanwood.entry._responses import DEADLINE_HEADER, REQUEST_ID_HEADER
 from toucanwood.entry._retry_budget import RetryBudget
-from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
+from toucanwood.upstream import (
+    NoFreeFile,
+    TargetClient,
+    TargetError,
+    TargetUnreachable,
+)
 from toucanwood.verdicts import Verdict, build_uncertain_verdict, refuse
 
 # Fraction of the remaining time that a reused connection may wait for the response
@@ -202,7 +207,9 @@
         return build_uncertain_verdict("target_failed", str(error), status=502)
     exchange.close_idle_connections()
     kind = OutcomeKind.UNREACHABLE
-    if not isinstance(error, TargetUnreachable):
+    if isinstance(error, NoFreeFile):
+        kind = OutcomeKind.UNUSED
+    elif not isinstance(error, TargetUnreachable):
         kind = OutcomeKind.FAILED
     exchange.finish(kind, str(error))
     return refuse(
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -23,7 +23,12 @@
 )
 from toucanwood.quota import QuotaEnforcer
 from toucanwood.relay import PIECE_BYTES, StreamPacer
-from toucanwood.upstream import TargetClient, TargetError, TargetUnreachable
+from toucanwood.upstream import (
+    NoFreeFile,
+    TargetClient,
+    TargetError,
+    TargetUnreachable,
+)
 from toucanwood.verdicts import Verdict, build_uncertain_verdict, refuse
 
 log = structlog.get_logger()
@@ -39,6 +44,7 @@
 # attempts, because the target has run nothing.
 MAX_TRIED_TARGETS = 4
 STATUS_MISDIRECTED = 421
+NO_FILE_RETRY_AFTER_S = 0.5
 # Time before the deadline that must remain for a retry to be useful.
 MIN_RETRY_TIME_S = 0.05
 
@@ -264,6 +270,15 @@
                 relays=context.relays,
                 due_in_s=context.objective_at - now,
             )
+        except NoFreeFile as error:
+            # Says nothing about the target, and other targets can't be reached either.
+            verdict = refuse(
+                "no_free_file",
+                str(error),
+                status=503,
+                retry_after=NO_FILE_RETRY_AFTER_S,
+            )
+            raise RequestError(self._finalise_verdict(context, verdict)) from error
         except (TargetUnreachable, ConnectTimeout) as error:
             verdict = refuse("target_unreachable", str(error), status=503)
             return Outcome.UNREACHABLE, _Retry(verdict)
--- a/toucanwood/gateway/_prober.py
+++ b/toucanwood/gateway/_prober.py
@@ -9,7 +9,7 @@
 from toucanwood.gateway._exchange import Exchange
 from toucanwood.gateway._headers import HeaderNames
 from toucanwood.placement import TargetRecord
-from toucanwood.upstream import TargetClient, TargetError
+from toucanwood.upstream import NoFreeFile, TargetClient, TargetError
 from toucanwood.utils import TaskGroup, run_periodically
 
 log = structlog.get_logger()
@@ -72,6 +72,9 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 is_healthy, remaining_cold_start_s = await self._send_probe(record)
+        except NoFreeFile as error:
+            log.debug("probe_not_sent", target=record.id, error=repr(error))
+            return
         except (TargetError, TimeoutError) as error:
             is_healthy, remaining_cold_start_s = False, 0.0
             log.debug("probe_failed", target=record.id, error=repr(error))
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Tests of requests that go through an entry."""
 
 import asyncio
+import errno
 from unittest import mock
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -371,3 +372,27 @@
         assert (await harness.send("/safe/x"))[0] == 200
 
     run_scenario(scenario, ScriptedTarget("t-1"))
+
+
+# Guards against targets that are ejected, and retries on other targets, because the
+# entry itself has no free file.
+def test_missing_files_of_the_entry_are_not_a_fault_of_its_targets():
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        error = OSError(errno.EMFILE, "Too many open files")
+        caller = await harness.connect()
+        with mock.patch.object(loop, "create_connection", side_effect=error) as calls:
+            for _ in range(5):
+                caller[1].write(harness.build_request("/unsafe/1"))
+                status, headers, body = await read_response(caller[0])
+                assert status == 503 and b"no_free_file" in body
+                assert float(headers["Retry-After"]) > 0
+        assert calls.call_count == 2 * 5
+        for record in harness.entry.dispatcher.list_records():
+            assert not record.health.is_ejected and record.health.strikes == 0
+        caller[1].write(harness.build_request("/unsafe/1"))
+        assert (await read_response(caller[0]))[0] == 200
+        caller[1].close()
+        assert len(harness.received) == 1
+
+    run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
--- a/toucanwood/upstream/__init__.py
+++ b/toucanwood/upstream/__init__.py
@@ -3,6 +3,7 @@
 from toucanwood.upstream._client import (
     MAX_IDLE_PER_TARGET,
     MIN_IDLE_S,
+    NoFreeFile,
     Progress,
     TargetClient,
     TargetConnection,
@@ -13,6 +14,7 @@
 __all__ = [
     "MAX_IDLE_PER_TARGET",
     "MIN_IDLE_S",
+    "NoFreeFile",
     "Progress",
     "TargetClient",
     "TargetConnection",
--- a/toucanwood/upstream/_client.py
+++ b/toucanwood/upstream/_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import errno
 import re
 import secrets
 import select
@@ -34,6 +35,9 @@
 READ_BUFFER_BYTES = 64 * 1024
 MAX_IDLE_PER_TARGET = 8
 MAX_IDLE_S = 15.0
+# Idle connections that are closed when the process has no free file for a new one.
+CLOSED_FOR_FILES = 8
+NO_FILE_ERRORS = (errno.EMFILE, errno.ENFILE)
 # Time in seconds for which a connection must be idle, without received bytes, before
 # it is reused. If a target sends two responses to one request, the second response must
 # not be taken for the response to the next request.
@@ -62,6 +66,10 @@
     """Report that no connection to a target was established."""
 
 
+class NoFreeFile(TargetError):
+    """Report that this process has no free file for a connection."""
+
+
 class TargetConnection:
     """Send one request at a time to a target."""
 
@@ -192,10 +200,12 @@
         self,
         *,
         max_idle_per_target: int = MAX_IDLE_PER_TARGET,
+        max_idle: int | None = None,
         max_idle_s: float = MAX_IDLE_S,
         min_idle_s: float = MIN_IDLE_S,
     ) -> None:
-        self._max_idle = max_idle_per_target
+        self._max_idle_per_target = max_idle_per_target
+        self._max_idle = max_idle
         self._max_idle_s = max_idle_s
         self._min_idle_s = min_idle_s
         self._idle: dict[str, deque[TargetConnection]] = {}
@@ -240,6 +250,20 @@
         return connection
 
     async def _connect(self, address: str) -> TargetConnection:
+        try:
+            protocol = await self._create_connection(address)
+        except NoFreeFile:
+            for _ in range(CLOSED_FOR_FILES):
+                self._close_longest_idle()
+            # A closed transport frees its file in the next step of the event loop.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            protocol = await self._create_connection(address)
+        if protocol.transport is None:
+            raise TargetError(f"{address} closed the new connection")
+        return TargetConnection(address, protocol)
+
+    async def _create_connection(self, address: str) -> TargetProtocol:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         try:
@@ -247,10 +271,11 @@
                 lambda: self._build_protocol(address), host.strip("[]"), int(port)
             )
         except (OSError, ValueError) as error:
-            raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
-        if protocol.transport is None:
-            raise TargetError(f"{address} closed the new connection")
-        return TargetConnection(address, protocol)
+            message = f"cannot connect to {address}: {error}"
+            if isinstance(error, OSError) and error.errno in NO_FILE_ERRORS:
+                raise NoFreeFile(message) from error
+            raise TargetUnreachable(message) from error
+        return protocol
 
     async def _connect_relayed(
         self, address: str, relays: RelaySelector, due_in_s: float
@@ -279,6 +304,10 @@
             # The relay does not know this target yet, but works for other targets.
             return None
         except (RelayFailed, OSError) as error:
+            cause = error.__cause__ if isinstance(error, RelayFailed) else error
+            if isinstance(cause, OSError) and cause.errno in NO_FILE_ERRORS:
+                # The direct connection that is tried next makes room.
+                return None
             relays.record_failure(relay, str(error), loop.time())
             return None
         if protocol.transport is None:
@@ -322,11 +351,13 @@
             connection.abort()
             return
         idle = self._idle.setdefault(connection.address, deque())
-        if len(idle) >= self._max_idle:
+        if len(idle) >= self._max_idle_per_target:
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
         idle.append(connection)
+        if self._max_idle is not None and self.count_idle() > self._max_idle:
+            self._close_longest_idle()
         if self._expiry_timer is None:
             self._schedule_expiry()
 
@@ -351,6 +382,16 @@
         for connection in self._idle.pop(address, ()):
             connection.close()
 
+    def count_idle(self) -> int:
+        """Return the number of idle connections."""
+        return sum(len(connections) for connections in self._idle.values())
+
+    def _close_longest_idle(self) -> None:
+        pools = [idle for idle in self._idle.values() if idle]
+        if pools:
+            longest = min(pools, key=lambda idle: idle[0].idle_since)
+            longest.popleft().close()
+
     def close(self) -> None:
         """Close every idle connection."""
         if self._expiry_timer is not None:
@@ -361,11 +402,10 @@
 
     def dump(self) -> dict[str, int]:
         """Return the numbers of connections by kind, and of protocol violations."""
-        idle = sum(len(connections) for connections in self._idle.values())
         return {
             "opened": self.opened,
             "reused": self.reused,
             "relayed": self.relayed,
-            "idle": idle,
+            "idle": self.count_idle(),
             "violations": self.violations,
         }
