Close the longest idle connection of callers for a new one

Cause: nothing bounded the connections of callers but the limit of the system, so what other parts of the process need was used up by whoever came first.

Idle connections to targets take 0.05 of the files at most.

--- a/toucanwood/controller/_settings.py
+++ b/toucanwood/controller/_settings.py
@@ -38,6 +38,8 @@
     gone_after_s: float = 10.0
     # Memory that the bodies of requests in progress may take.
     body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
+    # Files that the process may open; None uses the limit of the system.
+    max_open_files: int | None = None
     # The `ip:port` on which metrics are served; None disables them.
     metrics: str | None = None
 
@@ -54,6 +56,9 @@
         values["relay_port"] = reader.read_number(
             "relay_port", None, low=1, integer=True
         )
+        values["max_open_files"] = reader.read_number(
+            "max_open_files", None, low=1, integer=True
+        )
         values["metrics"] = reader.read("metrics", str, None)
         values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
         for name in ("controllers", "founders"):
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -19,7 +19,14 @@
 from toucanwood.gateway._load_meter import LoadMeter
 from toucanwood.gateway._prober import Prober
 from toucanwood.gateway._settings import GatewaySettings
-from toucanwood.httpd import BodyBudget, HttpServer, Responder, Response
+from toucanwood.httpd import (
+    BodyBudget,
+    ConnectionLimit,
+    HttpServer,
+    Responder,
+    Response,
+    get_open_file_limit,
+)
 from toucanwood.metrics import MetricsRegistry, MetricsServer
 from toucanwood.peering import PeerNetwork
 from toucanwood.placement import (
@@ -53,6 +60,8 @@
 STOP_FINISH_FRACTION = 0.92
 STOP_POLL_INTERVAL_S = 0.02
 MAX_IDLE_CONNECTIONS_PER_TARGET = 8
+# Fraction of the open files of the process for idle connections to targets.
+IDLE_TARGET_FILE_FRACTION = 0.05
 
 
 class GatewayInstance:
@@ -78,7 +87,12 @@
         self.network = PeerNetwork(
             instance_id=settings.id, address=settings.peer, secret=DEFAULT_SECRET
         )
-        self.client = TargetClient(max_idle_per_target=MAX_IDLE_CONNECTIONS_PER_TARGET)
+        open_files = settings.max_open_files or get_open_file_limit()
+        self.connection_limit = ConnectionLimit.from_open_files(open_files)
+        self.client = TargetClient(
+            max_idle_per_target=MAX_IDLE_CONNECTIONS_PER_TARGET,
+            max_idle=int(open_files * IDLE_TARGET_FILE_FRACTION),
+        )
         self._build_dispatch()
         self._build_feed()
         self._build_servers()
@@ -231,6 +245,7 @@
             self.handler.handle,
             limits=self._find_caller_limits,
             budget=BodyBudget(self.settings.body_memory_bytes),
+            connection_limit=self.connection_limit,
         )
         self.ready_server = HttpServer(self._answer_ready)
         self.metrics_server = MetricsServer(self.metrics, self.settings.metrics)
@@ -261,6 +276,7 @@
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
             "connections_open": len(self.server.connections),
+            "connections_closed_for_room": self.connection_limit.closed_idle,
         }
 
     def _build_announcement(self) -> AnnounceEntry:
--- a/toucanwood/gateway/_settings.py
+++ b/toucanwood/gateway/_settings.py
@@ -37,6 +37,8 @@
     max_state_age_s: float = 1.5
     # Memory that the bodies of requests in progress may take.
     body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
+    # Files that the process may open; None uses the limit of the system.
+    max_open_files: int | None = None
     # Address of the metrics server as `ip:port`; None starts no metrics server.
     metrics: str | None = None
 
@@ -54,6 +56,9 @@
         values["relay_port"] = reader.read_number(
             "relay_port", None, low=1, integer=True
         )
+        values["max_open_files"] = reader.read_number(
+            "max_open_files", None, low=1, integer=True
+        )
         values["metrics"] = reader.read("metrics", str, None)
         values["ready_path"] = reader.read("ready_path", str, "/ready")
         values["peer_port"] = reader.read_number("peer_port", low=1, integer=True)
--- a/toucanwood/gateway/tests/test_gateway.py
+++ b/toucanwood/gateway/tests/test_gateway.py
@@ -396,3 +396,18 @@
         assert len(harness.received) == 1
 
     run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
+
+
+# Guards against idle connections to targets that take the last files of the entry.
+def test_idle_connections_to_targets_are_bounded_over_all_targets():
+    async def scenario(harness):
+        client = harness.entry.client
+        for _ in range(6):
+            statuses = await asyncio.gather(
+                *(harness.send("/safe/1") for _ in range(4))
+            )
+            assert [status for status, _, _ in statuses] == [200] * 4
+            assert client.count_idle() <= 2
+
+    targets = [ScriptedTarget(f"t-{number}") for number in range(4)]
+    run_scenario(scenario, *targets, max_open_files=40)
--- a/toucanwood/httpd/__init__.py
+++ b/toucanwood/httpd/__init__.py
@@ -6,6 +6,7 @@
     BodyMemoryFull,
 )
 from toucanwood.httpd._connection import Connection, Responder
+from toucanwood.httpd._connection_limit import ConnectionLimit, get_open_file_limit
 from toucanwood.httpd._listener import Listener
 from toucanwood.httpd._request import BodyError, BodyTooLarge, CallerRequest
 from toucanwood.httpd._response import Response, build_error_response
@@ -19,9 +20,11 @@
     "BodyTooLarge",
     "CallerRequest",
     "Connection",
+    "ConnectionLimit",
     "HttpServer",
     "Listener",
     "Responder",
     "Response",
     "build_error_response",
+    "get_open_file_limit",
 ]
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
 from collections import deque
@@ -20,6 +21,7 @@
 from aiohttp.web_protocol import RequestPayloadError
 
 from toucanwood.httpd._body_budget import BodyBudget
+from toucanwood.httpd._connection_limit import ConnectionLimit
 from toucanwood.httpd._request import CallerRequest
 from toucanwood.httpd._response import (
     Response,
@@ -161,6 +163,7 @@
         registry: "set[Connection]",
         is_stopping: Callable[[], bool],
         budget: BodyBudget,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         size = limits().header_bytes
@@ -179,12 +182,13 @@
         self._registry = registry
         self._is_stopping = is_stopping
         self._budget = budget
+        self._connection_limit = connection_limit
         self._responders: deque[Responder] = deque()
         self._last_body: StreamReader | None = None
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
-        self._idle_since = loop.time()
+        self.idle_since = loop.time()
         self._is_closing = False
         self._drop_task: asyncio.Task[None] | None = None
         self.peer = ""
@@ -195,12 +199,16 @@
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._registry.add(self)
+        if self._connection_limit is not None:
+            self._connection_limit.add(self)
         self._arm_idle_timer(self._limits().idle_timeout_s * IDLE_TIMEOUT_FACTOR)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the running requests of a caller that has disconnected."""
         super().connection_lost(exc)
         self._registry.discard(self)
+        if self._connection_limit is not None:
+            self._connection_limit.discard(self)
         self._is_closing = True
         self._stop_header_timer()
         if self._idle_timer is not None:
@@ -270,7 +278,7 @@
         if not self._responders or self._responders[0] is not responder:
             return
         self._responders.popleft()
-        self._idle_since = self._loop.time()
+        self.idle_since = self._loop.time()
         if responder.closes_connection:
             self._close_gracefully()
             return
@@ -279,6 +287,8 @@
             self._drop_task = self._loop.create_task(self._drop_body(body))
         if self._responders:
             self._responders[0].allow_writing()
+        elif self._connection_limit is not None:
+            self._connection_limit.mark_idle(self)
         if self._buffer_paused and len(self._responders) < MAX_CONCURRENT_REQUESTS // 2:
             self._resume_reading_for_buffer()
 
@@ -287,6 +297,22 @@
         if self.is_idle() and not self._is_closing:
             self._close_gracefully()
 
+    def close_unused(self) -> bool:
+        """Close the connection and return True, or return False if it is in use.
+
+        It is in use too while a response is being sent, the rest of a body is dropped
+        or received bytes are unread.
+        """
+        transport = self.transport
+        is_dropping = self._drop_task is not None and not self._drop_task.done()
+        if not self.is_idle() or is_dropping or self._is_closing or transport is None:
+            return False
+        if transport.get_write_buffer_size() or _has_unread_bytes(transport):
+            return False
+        self._is_closing = True
+        transport.close()
+        return True
+
     def close_when_flushed(self) -> None:
         """Close an idle connection once its buffered bytes are sent."""
         if self.is_idle() and self.transport is not None:
@@ -313,6 +339,8 @@
         )
         responder = Responder(self, request, closes_connection=message.should_close)
         self._responders.append(responder)
+        if self._connection_limit is not None:
+            self._connection_limit.mark_busy(self)
         if message.should_close:
             # Bytes that follow the last request are not the start of a header.
             self._header_bytes = 0
@@ -435,13 +463,19 @@
 
     def _check_idle(self) -> None:
         timeout = self._limits().idle_timeout_s * IDLE_TIMEOUT_FACTOR
-        remaining = self._idle_since + timeout - self._loop.time()
+        remaining = self.idle_since + timeout - self._loop.time()
         if remaining <= 0 and self.is_idle():
             self.close_idle()
             return
         self._arm_idle_timer(max(remaining, timeout / 4))
 
 
+def _has_unread_bytes(transport: asyncio.Transport) -> bool:
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def dump_connections(connections: Iterable[Connection]) -> dict[str, Any]:
     """Return the number of open and of idle connections."""
     known = list(connections)
--- a/toucanwood/httpd/_listener.py
+++ b/toucanwood/httpd/_listener.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from toucanwood.httpd._connection_limit import ConnectionLimit
 from toucanwood.utils import TaskGroup
 
 log = structlog.get_logger()
@@ -20,18 +21,24 @@
 # Delay in seconds before the next accept after a failed one, for example when the
 # process has no free file descriptor.
 ACCEPT_RETRY_DELAY_S = 0.5
+# Delay in seconds before the next accept when all connections are in use.
+FULL_RETRY_DELAY_S = 0.1
 
 
 class Listener:
     """Accept connections and attach a new protocol to each."""
 
     def __init__(
-        self, address: str, factory: Callable[[], asyncio.BaseProtocol]
+        self,
+        address: str,
+        factory: Callable[[], asyncio.BaseProtocol],
+        limit: ConnectionLimit | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._factory = factory
+        self._limit = limit
         self._tasks = TaskGroup()
         self._loop = asyncio.get_running_loop()
         self._socket = socket.create_server(
@@ -70,19 +77,31 @@
                 return
 
     def _accept(self) -> bool:
+        limit = self._limit
+        if limit is not None and limit.is_exceeded(len(self._tasks)):
+            self._pause_accepting(FULL_RETRY_DELAY_S)
+            return False
         try:
             connection, _ = self._socket.accept()
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False
         except OSError as error:
             log.error("accept_failed", error=repr(error))
-            self._loop.remove_reader(self._socket)
-            self._loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume_accepting)
+            if limit is not None:
+                limit.close_longest_idle()
+            self._pause_accepting(ACCEPT_RETRY_DELAY_S)
             return False
         connection.setblocking(False)
         self._tasks.start(self._attach(connection), name="attach connection")
+        if limit is not None and not limit.make_room(len(self._tasks)):
+            self._pause_accepting(FULL_RETRY_DELAY_S)
+            return False
         return True
 
+    def _pause_accepting(self, delay_s: float) -> None:
+        self._loop.remove_reader(self._socket)
+        self._loop.call_later(delay_s, self._resume_accepting)
+
     def _resume_accepting(self) -> None:
         if self._socket.fileno() >= 0:
             self._loop.add_reader(self._socket, self._accept_pending)
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -6,6 +6,7 @@
 
 from toucanwood.httpd._body_budget import BodyBudget
 from toucanwood.httpd._connection import Connection, Handler, dump_connections
+from toucanwood.httpd._connection_limit import ConnectionLimit
 from toucanwood.httpd._listener import Listener
 from toucanwood.routing import CallerLimits
 
@@ -23,17 +24,21 @@
         *,
         limits: Callable[[], CallerLimits] = CallerLimits,
         budget: BodyBudget | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self._handle = handle
         self._limits = limits
         self._budget = budget or BodyBudget()
+        self._connection_limit = connection_limit
         self._listener: Listener | None = None
         self._is_stopping = False
         self.connections: set[Connection] = set()
 
     def start(self, address: str) -> None:
         """Listen on `ip:port`; raise OSError if the address cannot be bound."""
-        self._listener = Listener(address, self._build_connection)
+        self._listener = Listener(
+            address, self._build_connection, self._connection_limit
+        )
 
     @property
     def address(self) -> str:
@@ -84,4 +89,5 @@
             registry=self.connections,
             is_stopping=lambda: self._is_stopping,
             budget=self._budget,
+            connection_limit=self._connection_limit,
         )
--- a/toucanwood/programs/_programs.py
+++ b/toucanwood/programs/_programs.py
@@ -9,7 +9,7 @@
 
 from toucanwood.controller import ControllerInstance
 from toucanwood.gateway import GatewayInstance
-from toucanwood.httpd import BodyBudget, HttpServer
+from toucanwood.httpd import BodyBudget, ConnectionLimit, HttpServer
 from toucanwood.programs._control_api import ControlApi
 from toucanwood.programs._settings import ControllerRole, EntryRole
 from toucanwood.utils import run_program
@@ -29,7 +29,8 @@
             target_token_sha256=role.target_token_sha256,
         )
         budget = BodyBudget(role.controller.body_memory_bytes)
-        self._server = HttpServer(api.handle, budget=budget)
+        limit = ConnectionLimit.from_open_files(role.controller.max_open_files)
+        self._server = HttpServer(api.handle, budget=budget, connection_limit=limit)
 
     async def start(self) -> None:
         """Start the controller, then listen for requests."""
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -26,6 +26,10 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def __len__(self) -> int:
+        """Return the number of running tasks."""
+        return len(self._tasks)
+
     def is_busy(self) -> bool:
         """Return whether any task is running."""
         return bool(self._tasks)
