Reset closing connections whose callers read nothing

A connection that is closed with unsent bytes stays open until its caller has read them. A caller that reads nothing kept its file and up to a whole response in memory for ever; nothing was left that could end it, as the idle timer had already fired.

A closing connection is now reset once none of its buffered bytes were sent for 5 s. A slow reader that reads on is not affected.

--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -42,6 +42,9 @@
 # full close with unread bytes sends a reset, which could reach the caller before it has
 # read the response.
 LINGER_S = 1.0
+# Time in seconds after which a closing connection is reset if its caller has read
+# nothing of the buffered bytes meanwhile.
+FLUSH_STALL_S = 5.0
 # Bounds of what is read and dropped of a request body after an early response, so that
 # the next request of the connection can be read. Beyond them the connection is closed.
 MAX_DROPPED_BYTES = 1024 * 1024
@@ -433,8 +436,25 @@
         self._responders.clear()
 
     def _close_transport(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        transport = self.transport
+        if transport is None:
+            return
+        transport.close()
+        unsent = transport.get_write_buffer_size()
+        if unsent:
+            self._loop.call_later(FLUSH_STALL_S, self._reset_if_stalled, unsent)
+
+    def _reset_if_stalled(self, unsent_before: int) -> None:
+        """Reset the connection if its buffered bytes don't become fewer."""
+        transport = self.transport
+        if transport is None:
+            return
+        unsent = transport.get_write_buffer_size()
+        if unsent < unsent_before:
+            self._loop.call_later(FLUSH_STALL_S, self._reset_if_stalled, unsent)
+            return
+        log.info("response_stalled", peer=self.peer, unsent=unsent)
+        self.abort()
 
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
--- a/toucanwood/httpd/tests/test_connection_limit.py
+++ b/toucanwood/httpd/tests/test_connection_limit.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from toucanwood.httpd import ConnectionLimit, HttpServer, Response
+from toucanwood.httpd._connection import FLUSH_STALL_S, LINGER_S
 from toucanwood.httpd._connection_limit import MAX_EXCESS_RATIO, MIN_IDLE_S
 from toucanwood.httpd.tests.test_server import build_request, connect, read_response
 from toucanwood.routing import CallerLimits
@@ -91,3 +92,26 @@
                 writer.close()
 
     run_limited(scenario)
+
+
+# Guards against a closed connection that keeps its file and its response for ever
+# because its caller reads nothing.
+def test_closed_connection_whose_caller_reads_nothing_is_reset():
+    async def handle(responder):
+        await responder.send(Response(200, body=bytes(20_000_000)))
+
+    async def main():
+        server = HttpServer(handle)
+        server.start("127.0.0.1:0")
+        _, writer = await connect(server)
+        writer.transport.pause_reading()
+        writer.write(build_request("/", "Connection: close\r\n"))
+        await asyncio.sleep(0.1)
+        assert server.connections
+        async with asyncio.timeout(LINGER_S + 3 * FLUSH_STALL_S):
+            while server.connections:
+                await asyncio.sleep(0.1)
+        writer.transport.abort()
+        await server.stop()
+
+    asyncio.run(main())
