Free the unread bytes of a cut response at once

An entry whose callers read slowly grew although its buffers were bounded: 139 MB were still allocated after 700 such callers had left.

Cause: the protocol of a connection to a target keeps a reference to the stream of the last response, and the stream refers to the protocol. The unread bytes of a response that is cut at its deadline stayed in this cycle until the next full garbage collection, which a busy process rarely runs.

test_cut_response_frees_its_unread_bytes_at_once fails without the change.

--- a/toucanwood/gateway/tests/test_large_responses.py
+++ b/toucanwood/gateway/tests/test_large_responses.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import contextlib
+import gc
+import socket
+
+from aiohttp.streams import StreamReader
 
 from toucanwood.gateway.tests.harness import (
     NAMES,
@@ -16,6 +20,8 @@
 from toucanwood.relay import RelayServer
 from toucanwood.relay._protocol import LENGTH_BYTES, Reply
 
+UNHURRIED = {NAMES.remaining_ms: "10000"}
+
 
 # Large responses must not reach the slow link of an entry at the same time.
 def test_pending_large_requests_are_limited_on_slow_link():
@@ -167,3 +173,38 @@
         await relay.stop()
 
     run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
+
+
+async def connect_without_reading(harness):
+    """Return a connection of a caller for which the system holds few bytes."""
+    host, _, port = harness.entry.server.address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return sock
+
+
+# Guards against unread bytes of a response that is cut, which stay in memory until the
+# next full garbage collection.
+def test_cut_response_frees_its_unread_bytes_at_once():
+    def count_streams():
+        return sum(type(item) is StreamReader for item in gc.get_objects())
+
+    async def scenario(harness):
+        sock = await connect_without_reading(harness)
+        request = harness.build_request("/large/1", **{NAMES.remaining_ms: "400"})
+        gc.collect()
+        gc.disable()
+        try:
+            before = count_streams()
+            await asyncio.get_running_loop().sock_sendall(sock, request)
+            await asyncio.sleep(0.2)
+            assert count_streams() > before
+            await asyncio.sleep(0.8)
+            assert count_streams() == before
+        finally:
+            gc.enable()
+            sock.close()
+
+    run_scenario(scenario, ScriptedTarget("t-1", respond(body=bytes(5_000_000))))
--- a/toucanwood/upstream/_protocol.py
+++ b/toucanwood/upstream/_protocol.py
@@ -143,6 +143,9 @@
             # aiohttp ends such a body in the same way for a close and a reset.
             self._fail_body(ClientPayloadError("the response ended with a reset"))
         super().connection_lost(exc)
+        # The stream refers to this object; a cycle would keep its unread bytes until
+        # the next full garbage collection.
+        self._body = None
 
     def _take_end_mark(self) -> None:
         """Remove the end mark; without it, a body without a length is incomplete.
