Bound the memory for unread responses together with request bodies

A controller has the same server.

Cause: each response was bounded (1 MiB buffered, one stream reader), their sum was not. asyncio also reads 256 KiB at a time beyond the limit of a stream.

BodyBudget now counts what responses hold: the buffered part from its first byte to the end of the request, what a connection has not sent, and the read-ahead of streams. From half of the budget on, responses are streamed instead of buffered; above it, further requests are refused as not run (body_memory_full, Retry-After), by entries and controllers. Sockets are read 64 KiB at a time, and long bodies are no longer joined with their heads.

--- a/toucanwood/gateway/_admission.py
+++ b/toucanwood/gateway/_admission.py
@@ -107,6 +107,10 @@
 
     async def admit(self, request: CallerRequest, now: float) -> RequestContext:
         """Return the context of the request; raise RequestError if it is refused."""
+        try:
+            request.budget.check()
+        except BodyMemoryFull as error:
+            raise _refuse_for_memory(error) from error
         table = self._view.table
         if table is None:
             table = await self._wait_for_routing(request, now)
@@ -237,15 +241,17 @@
             message = "the request body did not arrive before the deadline"
             raise _refuse("body_timeout", message, 408) from error
         except BodyMemoryFull as error:
-            raise _refuse(
-                "body_memory_full", str(error), 503, BODY_MEMORY_RETRY_AFTER_S
-            ) from error
+            raise _refuse_for_memory(error) from error
         except BodyTooLarge as error:
             raise _refuse("body_too_large", str(error), 413) from error
         except BodyError as error:
             raise _refuse("body_invalid", str(error), 400) from error
 
 
+def _refuse_for_memory(error: BodyMemoryFull) -> RequestError:
+    return _refuse("body_memory_full", str(error), 503, BODY_MEMORY_RETRY_AFTER_S)
+
+
 def _refuse(
     code: str, message: str, status: int, retry_after: float | None = None
 ) -> RequestError:
--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -1,6 +1,7 @@
 """One attempt to send a request to a target and receive the response."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp.client_exceptions import ClientError
 from aiohttp.http import RawResponseMessage
@@ -21,6 +22,9 @@
 # Longest body that is joined with its head for one write; a join of a longer one would
 # take as much memory again.
 MAX_JOINED_BYTES = 64 * 1024
+# Largest part of a body that is taken from the stream reader at a time. The rest stays
+# there, so that the reader holds back the target while the caller is slow.
+READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 0.4
 # Bytes that may be queued on a slow link ahead of the reply to a connection attempt:
 # what two targets send before the entry reads.
@@ -104,11 +108,17 @@
         else:
             connection.write(head + body, self.progress)
 
-    async def receive(self, request_id: str, buffer_bytes: int) -> None:
+    async def receive(
+        self,
+        request_id: str,
+        buffer_bytes: int,
+        hold: Callable[[int], bool] = lambda size: True,
+    ) -> None:
         """Receive the response with this id: its head and the beginning of its body.
 
         The body is read until more than `buffer_bytes` bytes are buffered, or to its
-        end. Responses with other ids are skipped.
+        end. `hold` is told the size of each part and returns whether more may be
+        buffered. Responses with other ids are skipped.
         """
         connection = self._connection
         assert connection is not None
@@ -118,7 +128,7 @@
                 self._header_names.read_request_id(self.response_head.headers)
                 == request_id
             ):
-                await self._buffer_body(buffer_bytes)
+                await self._buffer_body(buffer_bytes, hold)
                 return
             self._may_reuse_connection = False
             await self._discard_body()
@@ -129,13 +139,13 @@
         connection = self._connection
         assert connection is not None
         self._response_head, self.response_stream = await connection.receive()
-        await self._buffer_body(buffer_bytes)
+        await self._buffer_body(buffer_bytes, lambda size: True)
         return self.response_head
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the response body, or b"" at its end."""
         try:
-            return await self.response_stream.readany()
+            return await self.response_stream.read(READ_BYTES)
         except (ClientError, OSError, RuntimeError) as error:
             raise TargetError(f"the response is truncated: {error}") from error
 
@@ -176,16 +186,20 @@
         )
         self._client.release(connection, reusable=reusable)
 
-    async def _buffer_body(self, buffer_bytes: int) -> None:
+    async def _buffer_body(
+        self, buffer_bytes: int, hold: Callable[[int], bool]
+    ) -> None:
         chunks: list[bytes] = []
         size = 0
-        while size <= buffer_bytes:
+        may_continue = True
+        while size <= buffer_bytes and may_continue:
             chunk = await self.read_chunk()
             if not chunk:
                 self.is_fully_buffered = True
                 break
             chunks.append(chunk)
             size += len(chunk)
+            may_continue = hold(len(chunk))
         self.buffered_body = b"".join(chunks)
 
     async def _discard_body(self) -> None:
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -289,7 +289,11 @@
         try:
             head = self._encode_head(context, lease)
             await exchange.send(context.request.method, head, context.body)
-            await exchange.receive(context.request_id, self._buffer_bytes)
+            await exchange.receive(
+                context.request_id,
+                self._buffer_bytes,
+                lambda size: _hold_response(context, size),
+            )
         except TargetError as error:
             if exchange.progress.written:
                 context.may_have_run = True
@@ -391,7 +395,12 @@
             context.timeout.reschedule(min(latest, 1e12))
         length = exchange.get_content_length()
         self._large_responses.record_declared_length(context, length)
-        await responder.start(response_head.code, response_head.reason, headers, length)
+        await responder.start(
+            response_head.code,
+            response_head.reason,
+            headers,
+            length,
+        )
         chunk, exchange.buffered_body = exchange.buffered_body, b""
         try:
             while chunk:
@@ -450,6 +459,12 @@
     )
 
 
+def _hold_response(context: RequestContext, size: int) -> bool:
+    """Count buffered bytes; return whether there is memory to buffer more."""
+    context.request.hold_memory(size)
+    return not context.request.budget.is_scarce()
+
+
 def _find_regions(context: RequestContext) -> frozenset[str] | None:
     """Return the regions in which a request may run; None means every region.
 
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -88,6 +88,7 @@
             instance_id=settings.id, address=settings.peer, secret=DEFAULT_SECRET
         )
         open_files = settings.max_open_files or get_open_file_limit()
+        self.body_budget = BodyBudget(settings.body_memory_bytes)
         self.connection_limit = ConnectionLimit.from_open_files(open_files)
         self.client = TargetClient(
             max_idle_per_target=MAX_IDLE_CONNECTIONS_PER_TARGET,
@@ -244,7 +245,7 @@
         self.server = HttpServer(
             self.handler.handle,
             limits=self._find_caller_limits,
-            budget=BodyBudget(self.settings.body_memory_bytes),
+            budget=self.body_budget,
             connection_limit=self.connection_limit,
         )
         self.ready_server = HttpServer(self._answer_ready)
@@ -276,6 +277,7 @@
             "requests_at_targets": sum(item.in_flight for item in records),
             "load": self.load_meter.measure(now),
             "connections_open": len(self.server.connections),
+            "body_memory_used_bytes": self.body_budget.measure(),
             "connections_closed_for_room": self.connection_limit.closed_idle,
         }
 
--- a/toucanwood/gateway/tests/test_large_responses.py
+++ b/toucanwood/gateway/tests/test_large_responses.py
@@ -185,6 +185,45 @@
     return sock
 
 
+# Guards against an entry that exceeds its memory, and loses the requests of all
+# callers, because many callers don't read their responses.
+def test_unread_responses_are_bounded_and_further_requests_are_refused():
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        budget = harness.entry.body_budget
+        # Another caller's kept connection is answered all the time.
+        other = await harness.connect()
+        sockets = []
+        for _ in range(12):
+            sock = await connect_without_reading(harness)
+            sockets.append(sock)
+            for _ in range(8):
+                request = harness.build_request("/large/1", **UNHURRIED)
+                await loop.sock_sendall(sock, request)
+        await asyncio.sleep(1.0)
+        assert budget.measure() > budget.limit_bytes
+        assert budget.measure() < 4 * budget.limit_bytes
+        received = len(harness.received)
+        other[1].write(harness.build_request("/unsafe/1"))
+        status, _, body = await read_response(other[0])
+        assert status == 503 and b"body_memory_full" in body
+        assert len(harness.received) == received
+        for sock in sockets:
+            sock.close()
+        async with asyncio.timeout(5.0):
+            while budget.measure():
+                await asyncio.sleep(0.05)
+        other[1].write(harness.build_request("/unsafe/1"))
+        assert (await read_response(other[0]))[0] == 200
+        other[1].close()
+
+    targets = [
+        ScriptedTarget(f"t-{n}", *[respond(body=bytes(900_000))] * 100)
+        for n in range(8)
+    ]
+    run_scenario(scenario, *targets, body_memory_bytes=4_000_000)
+
+
 # Guards against unread bytes of a response that is cut, which stay in memory until the
 # next full garbage collection.
 def test_cut_response_frees_its_unread_bytes_at_once():
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -30,11 +30,15 @@
     encode_response,
 )
 from toucanwood.routing import CallerLimits
+from toucanwood.utils import limit_read_size
 from toucanwood.verdicts import refuse
 
 log = structlog.get_logger()
 
 READ_BUFFER_BYTES = 64 * 1024
+# Bytes of a streamed response that are received ahead while its caller reads nothing:
+# the part that is being written, a full stream reader and what arrived meanwhile.
+STREAM_BUFFER_BYTES = 4 * READ_BUFFER_BYTES
 # Largest number of concurrent requests of a connection. At this number the connection
 # stops reading, and further requests stay in the socket.
 MAX_CONCURRENT_REQUESTS = 32
@@ -81,15 +85,15 @@
 
     async def send(self, response: Response) -> None:
         """Write a complete response once all earlier responses are written."""
+        self.request.hold_memory(len(response.body))
         await self._wait_for_earlier_responses()
         self.status = response.status
         is_head = self.request.method == "HEAD"
         closes_connection = self._should_close()
-        self._connection.write(
-            encode_response(
-                response, is_head=is_head, closes_connection=closes_connection
-            )
-        )
+        for part in encode_response(
+            response, is_head=is_head, closes_connection=closes_connection
+        ):
+            self._connection.write(part)
         self._complete()
 
     async def start(
@@ -199,6 +203,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         super().connection_made(transport)
+        limit_read_size(transport)
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._registry.add(self)
@@ -271,6 +276,19 @@
         if transport is None or transport.is_closing():
             raise ConnectionResetError("the caller has closed the connection")
         transport.write(data)
+        if transport.get_write_buffer_size():
+            self._budget.watch(self)
+
+    def count_held_bytes(self) -> int:
+        """Return how many bytes are held until the caller reads them."""
+        transport = self.transport
+        if transport is None:
+            return 0
+        unsent = transport.get_write_buffer_size()
+        first = self._responders[0] if self._responders else None
+        if unsent and first is not None and first.is_streaming:
+            unsent += STREAM_BUFFER_BYTES
+        return unsent
 
     async def drain(self) -> None:
         """Wait until the send buffer has room."""
@@ -368,7 +386,7 @@
             log.exception("request_failed", error=repr(error))
             self.abort()
         finally:
-            responder.request.release_body()
+            responder.request.release_memory()
             if not responder.is_finished and not self._is_closing:
                 self.abort()
 
@@ -409,9 +427,10 @@
             return
         response = build_error_response(refuse(code, message, status=status))
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(
-                encode_response(response, is_head=False, closes_connection=True)
-            )
+            for part in encode_response(
+                response, is_head=False, closes_connection=True
+            ):
+                self.transport.write(part)
         self._close_gracefully()
 
     def _close_gracefully(self) -> None:
--- a/toucanwood/httpd/_request.py
+++ b/toucanwood/httpd/_request.py
@@ -73,7 +73,7 @@
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body; raise BodyError, BodyTooLarge or BodyMemoryFull.
 
-        The body counts for the budget until `release_body`.
+        The body counts for the budget until `release_memory`.
         """
         if not self.has_body:
             return b""
@@ -94,8 +94,13 @@
             parts.append(chunk)
         return b"".join(parts)
 
-    def release_body(self) -> None:
-        """End the claim of the body on the budget, once the request has ended."""
+    def hold_memory(self, size: int) -> None:
+        """Count bytes of the response for the budget until `release_memory`."""
+        self._reserved_bytes += size
+        self.budget.used_bytes += size
+
+    def release_memory(self) -> None:
+        """End the claims on the budget, once the request has ended."""
         self.budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
--- a/toucanwood/httpd/_response.py
+++ b/toucanwood/httpd/_response.py
@@ -8,6 +8,7 @@
 
 from toucanwood.verdicts import Verdict
 
+MAX_JOINED_BYTES = 64 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -62,8 +63,11 @@
 
 def encode_response(
     response: Response, *, is_head: bool, closes_connection: bool
-) -> bytes:
-    """Return the bytes of a complete response."""
+) -> list[bytes]:
+    """Return the bytes of a complete response in one or two parts.
+
+    A long body is a part of its own, so that it isn't copied.
+    """
     length = f"Content-Length: {len(response.body)}"
     body = response.body
     if is_head or response.status in _NO_BODY_STATUSES:
@@ -78,4 +82,6 @@
         length,
         closes_connection=closes_connection,
     )
-    return head + body
+    if len(body) > MAX_JOINED_BYTES:
+        return [head, body]
+    return [head + body]
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -82,6 +82,7 @@
         """Respond to a request."""
         request = responder.request
         try:
+            request.budget.check()
             content = await self._run_handler(request)
             response = Response(
                 status=200,
--- a/toucanwood/upstream/_protocol.py
+++ b/toucanwood/upstream/_protocol.py
@@ -17,6 +17,7 @@
 from aiohttp.streams import StreamReader
 
 from toucanwood.upstream._chunked_framing import ChunkedFraming
+from toucanwood.utils import limit_read_size
 
 # Maximum bytes before the end of the head of the final response, which includes blank
 # lines and interim responses.
@@ -80,6 +81,11 @@
         self._framing = ChunkedFraming()
         self._body: StreamReader | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what is read ahead of the reader of a body."""
+        super().connection_made(transport)
+        limit_read_size(transport)
+
     @property
     def should_close(self) -> bool:
         """Return whether the connection can't be used for another request."""
--- a/toucanwood/utils/__init__.py
+++ b/toucanwood/utils/__init__.py
@@ -10,6 +10,7 @@
     run_periodically,
     run_step,
 )
+from toucanwood.utils._transports import limit_read_size
 from toucanwood.utils._validation import (
     FieldError,
     MappingReader,
@@ -30,6 +31,7 @@
     "check_range",
     "decode_json",
     "find_program_start",
+    "limit_read_size",
     "load_yaml",
     "run_periodically",
     "run_program",
