Count decoded documents for the memory of a controller

A controller (296 MB) was killed at its limit by 10 configurations of 6 MB that were sent at once (329 MB), and took 258 MB for 60 of 0.7 MB. Such an order was also answered 503 at controllers that don't lead, so its sender repeated it for ever.

Cause: the budget counted the bytes of a body, while a decoded document takes about ten times as much until its order has ended. The limit on the length of an order was only known to the leader, whose answer to another controller doesn't tell a refusal from a failure.

Bodies are decoded by the request, which claims ten times their length from the budget first and is refused as not run if there is no room. Each controller checks the length of an order before it submits it (400).

--- a/toucanwood/controller/_order_submitter.py
+++ b/toucanwood/controller/_order_submitter.py
@@ -7,7 +7,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
-from toucanwood.consensus import Replica
+from toucanwood.consensus import MAX_COMMAND_BYTES, Replica
 from toucanwood.controller._messages import OrderAnswer, SubmitOrder
 from toucanwood.fleet import (
     FleetState,
@@ -22,6 +22,7 @@
 )
 from toucanwood.metrics import MetricsRegistry
 from toucanwood.peering import PeerNetwork, PeerUnavailable
+from toucanwood.utils import check_range
 from toucanwood.verdicts import Execution, Verdict, build_uncertain_verdict, refuse
 
 log = structlog.get_logger()
@@ -54,7 +55,8 @@
     async def submit(self, order: Order) -> Result[OrderResult, Verdict]:
         """Commit an order through the leader.
 
-        A failed result states whether the order may have been committed.
+        A failed result states whether the order may have been committed. Raises
+        ValueError if the order is longer than a command may be.
         """
         started = asyncio.get_running_loop().time()
         result = await self._submit_until(order, started + ORDER_TIMEOUT_S)
@@ -86,7 +88,11 @@
             if isinstance(order, SetEvacuation | RemoveTarget):
                 order = attrs.evolve(order, seen_version=seen_version)
             timeout = max(deadline - now(), 0.0)
-            result = await self._submit(pack_order(order), timeout)
+            data = pack_order(order)
+            # The leader refuses longer ones too, but its answer to another controller
+            # would not tell this from a failure.
+            check_range("bytes of the order", len(data), high=MAX_COMMAND_BYTES)
+            result = await self._submit(data, timeout)
             if not _is_superseded(result):
                 return result
             seen_version = result.unwrap().version
--- a/toucanwood/controller/tests/test_controllers.py
+++ b/toucanwood/controller/tests/test_controllers.py
@@ -6,7 +6,7 @@
 import attrs
 from returns.result import Failure, Success
 
-from toucanwood.consensus import MemberRole, Members
+from toucanwood.consensus import MAX_COMMAND_BYTES, MemberRole, Members
 from toucanwood.consensus._members import Member
 from toucanwood.controller import AnnounceEntry, ControllerInstance
 from toucanwood.controller._group import (
@@ -62,6 +62,23 @@
     run_scenario(scenario)
 
 
+# Guards against an order that can never be committed, and is answered as a failure that
+# its sender repeats for ever.
+def test_order_that_is_too_long_is_refused_at_each_controller():
+    async def scenario(controllers):
+        await start_group(controllers)
+        document = {**DOCUMENT, "services": [{"name": "s" * MAX_COMMAND_BYTES}]}
+        for controller in controllers.running.values():
+            message = ""
+            try:
+                await controller.submit(PutRouting(0, 4, document))
+            except ValueError as error:
+                message = str(error)
+            assert "bytes of the order must be in" in message
+
+    run_scenario(scenario)
+
+
 # Guards against stale configuration reads from a partitioned controller.
 def test_controller_without_majority_refuses_reads_and_orders():
     async def scenario(controllers):
--- a/toucanwood/httpd/_body_budget.py
+++ b/toucanwood/httpd/_body_budget.py
@@ -39,12 +39,17 @@
     def reserve(self, body_bytes: int) -> int:
         """Reserve memory for a body and return its size; raise BodyMemoryFull."""
         size = COPIES * body_bytes
-        is_only_body = not self.used_bytes and size > self.limit_bytes
-        if not is_only_body and self.measure() + size > self.limit_bytes:
+        if not self.has_room(size):
             raise self._build_error()
         self.used_bytes += size
         return size
 
+    def has_room(self, size: int, own_bytes: int = 0) -> bool:
+        """Return whether a request that has claimed `own_bytes` may claim more."""
+        if self.used_bytes <= own_bytes and own_bytes + size > self.limit_bytes:
+            return True
+        return self.measure() + size <= self.limit_bytes
+
     def release(self, size: int) -> None:
         """Release memory that `reserve` has returned."""
         self.used_bytes -= size
--- a/toucanwood/httpd/_request.py
+++ b/toucanwood/httpd/_request.py
@@ -1,11 +1,17 @@
 """The request of a caller."""
 
+from typing import Any
+
 import attrs
 from aiohttp.http import HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDictProxy
 
-from toucanwood.httpd._body_budget import BodyBudget
+from toucanwood.httpd._body_budget import BodyBudget, BodyMemoryFull
+from toucanwood.utils import decode_json
+
+# Memory of decoded JSON as a multiple of its text.
+DECODED_COPIES = 10
 
 
 class BodyError(Exception):
@@ -94,8 +100,20 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    async def read_json(self, limit: int) -> Any:
+        """Return the decoded body; raise ValueError too if it is not JSON.
+
+        The decoded form counts for the budget as well.
+        """
+        data = await self.read_body(limit)
+        size = DECODED_COPIES * len(data)
+        if not self.budget.has_room(size, self._reserved_bytes):
+            raise BodyMemoryFull(f"there is no memory to decode {len(data)} bytes")
+        self.hold_memory(size)
+        return decode_json(data)
+
     def hold_memory(self, size: int) -> None:
-        """Count bytes of the response for the budget until `release_memory`."""
+        """Count bytes for the budget until `release_memory`."""
         self._reserved_bytes += size
         self.budget.used_bytes += size
 
--- a/toucanwood/httpd/tests/test_server.py
+++ b/toucanwood/httpd/tests/test_server.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import json
 import socket
 from unittest import mock
 
@@ -470,3 +471,39 @@
             writer.close()
 
     asyncio.run(main())
+
+
+# Guards against a controller that exceeds its memory because it decodes several long
+# documents at once, each of which takes many times its length.
+def test_decoded_bodies_count_for_the_memory_of_the_process():
+    held = asyncio.Event()
+
+    async def handle(responder):
+        try:
+            value = await responder.request.read_json(10**7)
+        except BodyMemoryFull:
+            await responder.send(Response(503))
+            return
+        await held.wait()
+        await responder.send(Response(200, body=b"%d" % len(value)))
+
+    async def main():
+        budget = BodyBudget(limit_bytes=4_000_000)
+        async with run_server(handle, budget) as server:
+            body = json.dumps(["x" * 300_000]).encode()
+            extra = f"Content-Length: {len(body)}\r\n"
+            connections = [await connect(server) for _ in range(3)]
+            for _, writer in connections:
+                writer.write(build_request("/", extra, "PUT") + body)
+            await asyncio.sleep(0.3)
+            assert 3_000_000 < budget.used_bytes <= budget.limit_bytes
+            held.set()
+            results = [(await read_response(reader))[0] for reader, _ in connections]
+            assert sorted(results) == [200, 503, 503]
+            for reader, writer in connections:
+                writer.write(build_request("/", extra, "PUT") + body)
+                assert (await read_response(reader))[0] == 200
+                writer.close()
+            assert budget.used_bytes == 0
+
+    asyncio.run(main())
--- a/toucanwood/programs/_control_api.py
+++ b/toucanwood/programs/_control_api.py
@@ -29,7 +29,7 @@
     Response,
     build_error_response,
 )
-from toucanwood.utils import FieldError, MappingReader, ValidationError, decode_json
+from toucanwood.utils import FieldError, MappingReader, ValidationError
 from toucanwood.verdicts import Verdict, refuse
 
 log = structlog.get_logger()
@@ -254,14 +254,11 @@
 
 
 async def _read_json(request: CallerRequest) -> Any:
-    async with asyncio.timeout(BODY_TIMEOUT_S):
-        data = await request.read_body(MAX_BODY_BYTES)
     try:
-        return decode_json(data)
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await request.read_json(MAX_BODY_BYTES)
     except ValueError as error:
-        raise ValidationError(
-            [FieldError("body", f"{len(data)} bytes", f"JSON ({error})")]
-        ) from None
+        raise ValidationError([FieldError("body", "", f"JSON ({error})")]) from None
 
 
 def _unwrap(result: Result[Any, Verdict]) -> Any:
