--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -2,6 +2,8 @@
 
 import os
 import pathlib
+import re
+import resource
 import shutil
 import signal
 import subprocess
@@ -16,9 +18,12 @@
 # All processes of a run use the same ports on different addresses. The process id
 # selects one of PORT_RANGE_COUNT port ranges, so that parallel runs do not collide.
 FIRST_PORT = 12000
-PORTS_PER_RUN = 8
+PORTS_PER_RUN = 10
 PORT_RANGE_COUNT = 500
 STOP_GRACE_S = 3
+# The smallest machines of the deployments.
+MAX_OPEN_FILES = 1000
+MEMORY_MB = {"core": 296, "front": 200}
 STOP_TIMEOUT_S = 10.0
 
 BOOT_CONFIG = """
@@ -40,7 +45,8 @@
 control = "{ip}:{control}"
 directory = "{ip}:{directory}"
 [limits]
-max_fds = 1000
+max_fds = {files}
+memory_mb = {memory_mb}
 link_mbps = 1000.0
 [fault_tolerance]
 machines = 1
@@ -85,6 +91,27 @@
     def get_target_address(self, number):
         return f"127.0.30.{number}:{self.port + 5}"
 
+    def get_peer_port(self, name):
+        """Return the port for other instances: the entries share one.
+
+        An instance dials the others at its own port. A proxy at that port stands in
+        each link to a controller.
+        """
+        role, _, number = name.partition("-")
+        return self.port + (5 + int(number) if role == "core" else 0)
+
+    def list_links(self):
+        """Return each link to a controller: source, target, dialed address, address."""
+        links = []
+        for target in self.controllers:
+            ip = self.get_ip(target)
+            for source in ("front", *self.controllers):
+                if source != target:
+                    dialed = f"{ip}:{self.get_peer_port(source)}"
+                    upstream = f"{ip}:{self.get_peer_port(target)}"
+                    links.append((source, target, dialed, upstream))
+        return links
+
     def get_proxy_address(self, address):
         """Return the address of the proxy in front of an address."""
         host, _, port = address.rpartition(":")
@@ -106,6 +133,7 @@
                 env={**os.environ, "TOUCANWOOD_BOOT": str(path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                preexec_fn=_limit_open_files,
             )
         self.started_names.add(name)
 
@@ -118,6 +146,17 @@
     def pause(self, name):
         self.processes[name].send_signal(signal.SIGSTOP)
 
+    def list_oversized(self):
+        """Return the names and memory in MB of the processes above their limit."""
+        sizes = {
+            name: read_memory_mb(item.pid) for name, item in self.processes.items()
+        }
+        return [
+            (name, size)
+            for name, size in sizes.items()
+            if size > MEMORY_MB[name.partition("-")[0]]
+        ]
+
     def resume(self, name):
         self.processes[name].send_signal(signal.SIGCONT)
 
@@ -161,7 +200,7 @@
             role=name.partition("-")[0],
             ip=self.get_ip(name),
             zone="ab"[int(name[-1]) % 2],
-            port=self.port,
+            port=self.get_peer_port(name),
             front=self.port + 1,
             ready=self.port + 2,
             control=self.port + 3,
@@ -169,5 +208,21 @@
             seeds=seeds,
             folder=self.folder,
             grace=STOP_GRACE_S,
+            files=MAX_OPEN_FILES,
+            memory_mb=MEMORY_MB[name.partition("-")[0]],
             bootstrap="false" if name in self.started_names else "true",
         )
+
+
+def read_memory_mb(pid):
+    """Return the memory that only this process uses in MB, 0 if it has ended."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    sizes = re.findall(r"(?:RssAnon|VmSwap):\s+(\d+) kB", status)
+    return sum(int(size) for size in sizes) / 1000
+
+
+def _limit_open_files():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_OPEN_FILES, MAX_OPEN_FILES))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,9 +10,11 @@
 import attrs
 
 from soak._callers import CHUNK_BYTES, RefusedCaller
+from soak._evacuations import EvacuationOperator
 from soak._fleet import Fleet
 from soak._history import History
 from soak._http import send_json, send_request
+from soak._pressure import PressureCaller
 from soak._proxy import LinkFault, Proxy
 from soak._signals import (
     LEAVING_S,
@@ -35,6 +37,7 @@
 LINK_FAULT_FRACTION = 0.4
 DISK_FAULTS = ("lose_disk", "tear_write")
 START_TIMEOUT_S = 20.0
+MEMORY_CHECK_INTERVAL_S = 0.05
 # Time that the fleet has to recover after the last fault.
 RECOVERY_S = 8.0
 # Duration of the phase after the recovery, in which the served requests are counted.
@@ -87,6 +90,9 @@
         self._has_lost_disk = False
         self._faults = []
         self._fault_times = FaultTimes()
+        self._evacuations = EvacuationOperator(self._fleet, self._history, self._rng)
+        # The instances at both ends of each proxy between instances, by its name.
+        self._link_ends = {}
         self._request_numbers = itertools.count(1)
         self._revision = 0
         self._is_after_recovery_period = False
@@ -95,8 +101,8 @@
     async def run_scenario(self):
         """Return the result; the log files are kept if an invariant was broken."""
         try:
-            self._fleet.start_all()
             await self._start_proxies()
+            self._fleet.start_all()
             await self._start_targets()
             await self._apply_first_config()
             await self._wait_until_serving()
@@ -144,6 +150,13 @@
             proxy = Proxy(fleet.get_proxy_address(address), address)
             await proxy.start()
             self._proxies[name] = proxy
+        for source, target, dialed, upstream in fleet.list_links():
+            proxy = Proxy(dialed, upstream)
+            await proxy.start()
+            name = f"link {source} {target}"
+            self._proxies[name] = proxy
+            sources = fleet.entries if source == "front" else [source]
+            self._link_ends[name] = [*sources, target]
 
     async def _start_targets(self):
         for number in range(1, TARGET_COUNT + 1):
@@ -155,6 +168,7 @@
                 self._fleet,
                 self._rng,
                 self._history,
+                self._evacuations.record_run,
             )
             await target.start()
             self._targets.append(target)
@@ -259,30 +273,60 @@
             build_headers=self._build_headers,
         )
         callers.append(asyncio.create_task(refused_caller.run()))
+        pressure = PressureCaller(
+            self._fleet,
+            self._history,
+            self._rng,
+            next_id=self._build_request_id,
+            build_headers=self._build_headers,
+        )
+        disturbers = [
+            asyncio.create_task(pressure.run()),
+            asyncio.create_task(self._evacuations.run()),
+        ]
+        watcher = asyncio.create_task(self._watch_memory())
         operator = asyncio.create_task(self._run_operator())
         signals = asyncio.create_task(self._change_signals())
         faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         await asyncio.sleep(self._fault_duration_s)
         self._is_fault_phase_over = True
         await asyncio.gather(*faults)
+        for task in disturbers:
+            task.cancel()
+        await asyncio.gather(*disturbers, return_exceptions=True)
         for name in (*self._fleet.controllers, *self._fleet.entries):
             if name not in self._fleet.processes:
                 self._fleet.start(name)
         for proxy in self._proxies.values():
             proxy.set_fault(LinkFault.NONE)
+        # Stays in force during the recovery, also if a link still holds an older order.
+        if not await self._evacuations.start():
+            self._history.violations.append("an evacuation could not be started")
         await asyncio.sleep(RECOVERY_S)
+        if not await self._evacuations.end():
+            self._history.violations.append("an evacuation could not be ended")
         signals.cancel()
         for target in self._targets:
             target.signals[-1].end_limit()
         self._is_after_recovery_period = True
         await asyncio.sleep(MEASUREMENT_S)
-        for task in (*callers, operator):
+        tasks = (*callers, operator, watcher)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*callers, operator, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._read_config()
         # Targets may still run requests whose callers were cancelled or timed out.
         await asyncio.sleep(1.0)
 
+    async def _watch_memory(self):
+        """Record and kill each process that exceeds its memory."""
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+            for name, size in self._fleet.list_oversized():
+                self._history.violations.append(f"{name} takes {size:.0f} MB")
+                await asyncio.to_thread(self._fleet.kill, name)
+                self._fleet.start(name)
+
     async def _run_caller(self):
         while True:
             name = self._rng.choice(self._fleet.entries)
@@ -354,8 +398,8 @@
             await asyncio.sleep(self._rng.uniform(0.2, 2.5))
             proxy.set_fault(LinkFault.NONE)
         # The proxies and the targets number their names alike.
-        target = name.replace("target-", "i-")
-        self._fault_times.record(target, begin, time.monotonic())
+        for end in self._link_ends.get(name, [name.replace("target-", "i-")]):
+            self._fault_times.record(end, begin, time.monotonic())
 
     def _is_disk_fault_allowed(self, kind, name):
         """Return whether the fleet has to tolerate this disk fault.
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -25,16 +25,18 @@
 class FaultyTarget:
     """Target that sheds some requests, and drops or repeats some responses."""
 
-    def __init__(self, number, address, announced_address, fleet, rng, history):
+    def __init__(self, number, address, announced_address, fleet, rng, history, on_run):
         # Address of the proxy through which requests reach the target.
         self._announced_address = announced_address
         self.id = f"i-{number}"
         self.address = address
+        self.zone = "ab"[number % 2]
         self.start_time_ms = time.time_ns() // 1_000_000
         self.state = "ready"
         self._fleet = fleet
         self._rng = rng
         self._history = history
+        self._on_run = on_run
         self._running = 0
         self._sequence = 0
         self._tasks = set()
@@ -66,7 +68,7 @@
         body = {
             "service": "s",
             "address": self._announced_address,
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "concurrency": SLOTS,
             "state": self.state,
@@ -140,6 +142,7 @@
 
     async def _execute(self, writer, request_line, headers, request_id, body):
         self._history.record_run(request_id, self, request_line, headers)
+        self._on_run(self.zone, request_id)
         self._running += 1
         try:
             await asyncio.sleep(PROCESSING_TIME_S * self._rng.uniform(0.5, 2.0))
