Don't count the transfer of a long message as silence of the peer

An instance behind a full link could never get a message that takes more than 2 s to arrive, such as the full state of a fleet: the connection was closed as silent, opened again, and the same message was cut again.

Cause: the silence timeout covered a whole frame. A peer sends no heartbeats within a frame, so only its bytes show that it lives. The timeout now runs from one received part to the next.

--- a/toucanwood/peering/_connection.py
+++ b/toucanwood/peering/_connection.py
@@ -147,8 +147,9 @@
 
     async def _receive_all(self) -> None:
         while self.is_open:
-            async with asyncio.timeout(SILENCE_TIMEOUT_S):
-                frame, size = await read_sized_frame(self._reader)
+            frame, size = await read_sized_frame(
+                self._reader, silence_timeout_s=SILENCE_TIMEOUT_S
+            )
             self.received_bytes += size
             self._receive(frame)
 
--- a/toucanwood/peering/_frames.py
+++ b/toucanwood/peering/_frames.py
@@ -36,18 +36,38 @@
 
 
 async def read_sized_frame(
-    reader: asyncio.StreamReader, *, limit: int = MAX_FRAME_BYTES
+    reader: asyncio.StreamReader,
+    *,
+    limit: int = MAX_FRAME_BYTES,
+    silence_timeout_s: float | None = None,
 ) -> tuple[Any, int]:
-    """Read one frame and return it with its size in bytes."""
-    header = await reader.readexactly(_LENGTH.size)
+    """Read one frame and return it with its size in bytes.
+
+    Raise TimeoutError if no byte arrives for `silence_timeout_s` seconds. A long frame
+    on a slow link may take longer than that.
+    """
+    header = await _read_exactly(reader, _LENGTH.size, silence_timeout_s)
     (length,) = _LENGTH.unpack(header)
     if length > limit:
         raise ValueError(f"frame length must be at most {limit} bytes, got {length}")
-    body = await reader.readexactly(length)
+    body = await _read_exactly(reader, length, silence_timeout_s)
     content = msgpack.unpackb(body, strict_map_key=False)
     return content, _LENGTH.size + length
 
 
+async def _read_exactly(
+    reader: asyncio.StreamReader, size: int, silence_timeout_s: float | None
+) -> bytes:
+    data = bytearray()
+    while len(data) < size:
+        async with asyncio.timeout(silence_timeout_s):
+            part = await reader.read(size - len(data))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(data), size)
+        data += part
+    return bytes(data)
+
+
 async def accept_handshake(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/toucanwood/peering/tests/test_network.py
+++ b/toucanwood/peering/tests/test_network.py
@@ -14,10 +14,14 @@
     HEARTBEAT,
     HEARTBEAT_INTERVAL_S,
     IDLE_TIMEOUT_S,
+    NOTICE,
+    SILENCE_TIMEOUT_S,
     Connection,
 )
+from toucanwood.peering._frames import FORMAT_VERSION, pack_frame
+from toucanwood.peering._messages import encode_message
 from toucanwood.peering._network import CONNECT_RETRY_S, split_address
-from toucanwood.utils import run_program
+from toucanwood.utils import run_program, run_virtual
 from toucanwood.verdicts import Execution
 
 
@@ -256,3 +260,34 @@
 
     with mock.patch.object(Connection, "_write", count_heartbeats):
         asyncio.run(main())
+
+
+def test_frame_that_takes_longer_than_the_silence_timeout_arrives():
+    # Guards against an instance behind a full link that never gets a long message,
+    # because the time of its transfer counted as silence of the peer.
+    async def main():
+        received = []
+
+        async def receive(sender, body):
+            received.append(body.text)
+
+        writer = mock.Mock()
+        writer.transport.get_write_buffer_size.return_value = 0
+        reader = asyncio.StreamReader()
+        connection = Connection(
+            reader, writer, peer_id="b", handlers={Echo: receive}, is_dialed=False
+        )
+        running = asyncio.create_task(connection.run())
+        frame = pack_frame(
+            [FORMAT_VERSION, NOTICE, 0, *encode_message(Echo("x" * 400))]
+        )
+        for start in range(0, len(frame), 40):
+            await asyncio.sleep(SILENCE_TIMEOUT_S / 4)
+            reader.feed_data(frame[start : start + 40])
+        await asyncio.sleep(SILENCE_TIMEOUT_S / 4)
+        assert received == ["x" * 400] and connection.is_open
+        await asyncio.sleep(SILENCE_TIMEOUT_S)
+        assert not connection.is_open
+        await running
+
+    run_virtual(main())
