Bound the length of the document that patches make

An order has at most 1 MiB, but a document could grow without a limit by patches that are each below it.

A patch or a replacement that makes the document longer than 1 MiB is refused as invalid. A document of an earlier release that is longer may still shrink.

--- a/toucanwood/fleet/_state.py
+++ b/toucanwood/fleet/_state.py
@@ -26,6 +26,9 @@
 # Maximum number of accepted routing orders whose digests are kept, so that a retried
 # order is acknowledged again. This covers seven days of 550 changes each.
 MAX_REMEMBERED_ORDERS = 4096
+# Limit of the encoded document. Patches must not make it longer than one order that
+# replaces it may be; snapshots, updates and the memory of all instances depend on it.
+MAX_DOCUMENT_BYTES = 1024 * 1024
 # Maximum number of records of departed targets. They identify delayed announcements,
 # which must not add the target again.
 MAX_DEPARTED_TARGETS = 4096
@@ -229,6 +232,12 @@
             table = RoutingTable.from_config(document, previous=self._table)
         except ValidationError as error:
             return OrderResult(OrderStatus.INVALID, self.revision, str(error))
+        size = len(msgpack.packb(document))
+        # A document of an earlier release may be longer already, and may shrink.
+        if size > MAX_DOCUMENT_BYTES and size > len(msgpack.packb(self.document)):
+            message = f"the document must have at most {MAX_DOCUMENT_BYTES} bytes, "
+            message += f"got {size}"
+            return OrderResult(OrderStatus.INVALID, self.revision, message)
         self._table = table
         change = diff_documents(self.document, document)
         self.document = document
--- a/toucanwood/fleet/tests/test_state.py
+++ b/toucanwood/fleet/tests/test_state.py
@@ -20,6 +20,7 @@
     TargetState,
     pack_order,
 )
+from toucanwood.fleet._state import MAX_DOCUMENT_BYTES
 from toucanwood.routing import CallerLimits, RoutingTable
 from toucanwood.utils import ValidationError
 
@@ -112,6 +113,31 @@
     assert fleet.apply(PatchRouting(5, 6, {}, {"routes": 3})) is OrderStatus.INVALID
 
 
+# Guards against a document that patches make longer than any order, so that it can't be
+# written again, and that snapshots, updates and memory grow without a limit.
+def test_patches_do_not_make_the_document_longer_than_an_order():
+    fleet = FleetHarness()
+    assert fleet.apply(PutRouting(0, 1, DOCUMENT)) is OrderStatus.ACCEPTED
+    results = []
+    for number in range(12):
+        routes = [
+            {
+                **ROUTE,
+                "name": f"r-{number}-{n}",
+                "prefix": f"/{number}/{n}/" + "x" * 200,
+            }
+            for n in range(400)
+        ]
+        base = fleet.state.revision
+        order = PatchRouting(base, base + 1, {"routes": routes}, {})
+        results.append(fleet.apply(order))
+        assert len(msgpack.packb(fleet.state.document)) <= MAX_DOCUMENT_BYTES
+    assert results[0] is OrderStatus.ACCEPTED and results[-1] is OrderStatus.INVALID
+    base = fleet.state.revision
+    smaller = PatchRouting(base, base + 1, {}, {"routes": ["r-0-1"]})
+    assert fleet.apply(smaller) is OrderStatus.ACCEPTED
+
+
 def test_delayed_announcement_does_not_reactivate_a_draining_target():
     fleet = FleetHarness()
     fleet.apply(build_report(sequence=3))
