Let schedules in virtual time repeat exactly from their seed

Three causes: the election timers of the simulated controllers had no seed; tasks were kept in sets, whose order depends on addresses, and so were cancelled in any order; an entry that got several answers at once took any of them. Controllers get a seed, task groups keep the order of starts, and an entry takes the first controller of its list.

--- a/soak/_simulated_fleet.py
+++ b/soak/_simulated_fleet.py
@@ -55,6 +55,8 @@
         self._disks = {}
         self._feeds = []
         self._disk_count = 0
+        # The seed of the next controller's random numbers.
+        self._start_count = seed * 1000
         self._cuts = {}
         self._cut_count = 0
 
@@ -72,6 +74,7 @@
 
     async def start_controller(self, name, *, founders=(), loses_disk=False):
         """Start a controller on its disk as a crash has left it, or on an empty one."""
+        self._start_count += 1
         disk = self._disks.get(name)
         if disk is None or loses_disk:
             self._disk_count += 1
@@ -96,7 +99,9 @@
         with contextlib.ExitStack() as stack:
             replacements = {
                 "PeerNetwork": self._build_transport,
-                "Replica": functools.partial(Replica, **SNAPSHOT_LIMITS),
+                "Replica": functools.partial(
+                    Replica, seed=self._start_count, **SNAPSHOT_LIMITS
+                ),
                 "FileDisk": self._disks.get,
                 "MetricsServer": mock.MagicMock(),
                 "find_program_start": asyncio.get_running_loop().time,
--- a/toucanwood/gateway/_controller_search.py
+++ b/toucanwood/gateway/_controller_search.py
@@ -133,7 +133,8 @@
                 timeout=until - loop.time(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            for probe in done:
+            # In the order of the list: a set of tasks has none that repeats.
+            for probe in [item for item in probes if item in done]:
                 index = probes.pop(probe)
                 if probe.result():
                     self._current_index = index
--- a/toucanwood/peering/testing.py
+++ b/toucanwood/peering/testing.py
@@ -132,7 +132,7 @@
         self._network = network
         self._handlers: dict[type, Handler] = {}
         self._tasks = TaskGroup()
-        self._running: dict[str, set[asyncio.Task[Any]]] = {}
+        self._running: dict[str, dict[asyncio.Task[Any], None]] = {}
 
     def register(self, message_type: type, handler: Handler) -> None:
         """Handle every received message of one type; the result is the reply."""
@@ -140,7 +140,7 @@
 
     def cancel_handlers(self, sender: str) -> None:
         """Cancel the handlers of the messages of one sender."""
-        for task in self._running.get(sender, ()):
+        for task in list(self._running.get(sender, ())):
             task.cancel()
 
     def connected_peers(self) -> frozenset[str]:
@@ -190,9 +190,9 @@
         if handler is not None and self.is_alive:
             coroutine = self._handle(handler, sender, body, future)
             task = self._tasks.start(coroutine, name=f"handle-{type(body).__name__}")
-            running = self._running.setdefault(sender, set())
-            running.add(task)
-            task.add_done_callback(running.discard)
+            running = self._running.setdefault(sender, {})
+            running[task] = None
+            task.add_done_callback(running.pop)
 
     async def _handle(
         self,
--- a/toucanwood/utils/_tasks.py
+++ b/toucanwood/utils/_tasks.py
@@ -15,14 +15,15 @@
     """Background tasks of one owner: failures are logged, `stop` cancels all."""
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[Any]] = set()
+        # In the order of their start, so that tests in virtual time repeat exactly.
+        self._tasks: dict[asyncio.Task[Any], None] = {}
 
     def start(
         self, coroutine: Coroutine[Any, Any, Any], *, name: str
     ) -> asyncio.Task[Any]:
         """Start a task and keep a reference to it until it ends."""
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._on_task_done)
         return task
 
@@ -42,14 +43,15 @@
         until the task has ended.
         """
         current = asyncio.current_task()
-        pending = {task for task in self._tasks if task is not current}
+        pending = [task for task in self._tasks if task is not current]
         while pending:
             for task in pending:
                 task.cancel()
-            _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_INTERVAL_S)
+            await asyncio.wait(pending, timeout=CANCEL_RETRY_INTERVAL_S)
+            pending = [task for task in pending if not task.done()]
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if task.cancelled():
             return
         error = task.exception()
