Keep hashes instead of bodies in the history of the soak

A run of 12 s took 0.9 GB in the process that drives it, since the history kept the bodies of all downloads, of up to 3 MB, twice. Comparing their hashes finds the same differences.

--- a/soak/_history.py
+++ b/soak/_history.py
@@ -34,7 +34,7 @@
     post_recovery_results: list = attrs.field(factory=list)
     # The entry and the time to which and at which each request was sent.
     sent: dict = attrs.field(factory=dict)
-    # The bodies that targets have sent for each request.
+    # The hashes of the bodies that targets have sent for each request.
     bodies: dict = attrs.field(factory=dict)
     # Responses that didn't come or are cut: the names of the processes and links on
     # their way, begin, end, description. A fault of one of them excuses it.
@@ -70,11 +70,12 @@
 
     def record_body(self, request_id, body):
         """Record the body of the response of a target."""
-        self.bodies.setdefault(request_id, []).append(body)
+        self.bodies.setdefault(request_id, []).append(hash(body))
 
     def record_response(self, request_id, response, *, is_after_recovery_period):
         """Record a response (None if there was none) and check its content."""
-        self.responses[request_id] = response
+        # Without the bodies, which would take most of the memory of a run.
+        self.responses[request_id] = response and attrs.evolve(response, body=b"")
         if is_after_recovery_period:
             self.post_recovery_results.append(
                 response is not None and response.status == 200
@@ -87,9 +88,8 @@
             names = {entry, *self.target_ids}
             self.interrupted.append((names, begin, time.monotonic(), message))
             return
-        if not response.is_complete or response.body not in self.bodies.get(
-            request_id, ()
-        ):
+        sent_bodies = self.bodies.get(request_id, ())
+        if not response.is_complete or hash(response.body) not in sent_bodies:
             self.violations.append(
                 f"{request_id}: got a wrong body {response.body[:40]!r}"
             )
