Let the budgets of a controller fit its memory together

Body budget (0.4 of 296 MB), relays (100 connections of 1 MiB and one read each), log and process added up to about the limit of a controller.

--- a/toucanwood/relay/_server.py
+++ b/toucanwood/relay/_server.py
@@ -16,7 +16,7 @@
     RelayHead,
     Reply,
 )
-from toucanwood.utils import TaskGroup
+from toucanwood.utils import TaskGroup, limit_read_size
 
 log = structlog.get_logger()
 
@@ -125,6 +125,7 @@
                 target = await asyncio.open_connection(
                     host, int(port), limit=READ_AHEAD_BYTES
                 )
+                limit_read_size(target[1].transport)
         except (OSError, TimeoutError):
             writer.write(Reply.UNREACHABLE.value)
             return None
