--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -23,12 +23,8 @@
 from toucanwood.httpd._body_budget import BodyBudget
 from toucanwood.httpd._connection_limit import ConnectionLimit
 from toucanwood.httpd._request import CallerRequest
-from toucanwood.httpd._response import (
-    Response,
-    build_error_response,
-    encode_head,
-    encode_response,
-)
+from toucanwood.httpd._responder import MAX_DROPPED_BYTES, Responder
+from toucanwood.httpd._response import build_error_response, encode_response
 from toucanwood.routing import CallerLimits
 from toucanwood.utils import limit_read_size
 from toucanwood.verdicts import refuse
@@ -49,9 +45,7 @@
 # Time in seconds after which a closing connection is reset if its caller has read
 # nothing of the buffered bytes meanwhile.
 FLUSH_STALL_S = 5.0
-# Bounds of what is read and dropped of a request body after an early response, so that
-# the next request of the connection can be read. Beyond them the connection is closed.
-MAX_DROPPED_BYTES = 1024 * 1024
+# Time in seconds in which the rest of a body behind an early response has to arrive.
 MAX_DROP_S = 5.0
 # Ratio of the time after which the server closes an idle connection to the declared
 # idle timeout, so that callers stop using the connection before it is closed.
@@ -63,102 +57,6 @@
 Handler = Callable[["Responder"], Awaitable[None]]
 
 
-class Responder:
-    """Write the response to one request after those to earlier pipelined requests."""
-
-    def __init__(
-        self,
-        connection: "Connection",
-        request: CallerRequest,
-        *,
-        closes_connection: bool,
-    ) -> None:
-        self.request = request
-        self.closes_connection = closes_connection
-        self.is_finished = False
-        self.is_streaming = False
-        self.status = 0
-        self._connection = connection
-        self._may_write: asyncio.Future[None] | None = None
-        self._is_chunked = False
-        self.task: asyncio.Task[None] | None = None
-
-    async def send(self, response: Response) -> None:
-        """Write a complete response once all earlier responses are written."""
-        self.request.hold_memory(len(response.body))
-        await self._wait_for_earlier_responses()
-        self.status = response.status
-        is_head = self.request.method == "HEAD"
-        closes_connection = self._should_close()
-        for part in encode_response(
-            response, is_head=is_head, closes_connection=closes_connection
-        ):
-            self._connection.write(part)
-        self._complete()
-
-    async def start(
-        self,
-        status: int,
-        reason: str,
-        headers: Iterable[tuple[str, str]],
-        length: str | None,
-    ) -> None:
-        """Write the head of a response whose body is streamed."""
-        await self._wait_for_earlier_responses()
-        self.status = status
-        self.is_streaming = True
-        self._is_chunked = length is None
-        framing = "Transfer-Encoding: chunked"
-        if length is not None:
-            framing = f"Content-Length: {length}"
-        closes_connection = self._should_close()
-        head = encode_head(
-            status, reason, headers, framing, closes_connection=closes_connection
-        )
-        self._connection.write(head)
-
-    async def write(self, chunk: bytes) -> None:
-        """Write a chunk of the body and wait until the send buffer has room."""
-        if self._is_chunked:
-            chunk = f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n"
-        self._connection.write(chunk)
-        await self._connection.drain()
-
-    def finish(self) -> None:
-        """End a streamed response."""
-        if self._is_chunked:
-            self._connection.write(b"0\r\n\r\n")
-        self._complete()
-
-    def abort(self) -> None:
-        """Reset the connection, so that a streamed response is seen as incomplete."""
-        self.is_finished = True
-        self._connection.abort()
-
-    def allow_writing(self) -> None:
-        """Allow this response to be written."""
-        if self._may_write is not None and not self._may_write.done():
-            self._may_write.set_result(None)
-
-    async def _wait_for_earlier_responses(self) -> None:
-        if self._connection.is_first(self):
-            return
-        self._may_write = asyncio.get_running_loop().create_future()
-        await self._may_write
-
-    def _should_close(self) -> bool:
-        self.closes_connection = (
-            self.closes_connection
-            or self._connection.is_last_response(self)
-            or self.request.count_unread_bytes() > MAX_DROPPED_BYTES
-        )
-        return self.closes_connection
-
-    def _complete(self) -> None:
-        self.is_finished = True
-        self._connection.finish_response(self)
-
-
 class Connection(BaseProtocol):
     """Parse requests, run a handler for each and write the responses in order."""
 
