Let a planned stop wait for responses that callers still read

A stopping entry reset connections with unsent bytes 0.3 s after its last request, long before the end of its grace time, so callers that read slowly got half of a response that their target had sent (LOST).

Cause: a connection counted as idle once its response was handed to the transport.

test_stop_waits_for_callers_that_read_their_responses (8 responses of 0.9 MB, read from 0.75 of the grace time on) is reset on the code before and passes three times.

--- a/toucanwood/gateway/tests/harness.py
+++ b/toucanwood/gateway/tests/harness.py
@@ -327,6 +327,15 @@
         host, _, port = self.entry.server.address.rpartition(":")
         return await asyncio.open_connection(host, int(port))
 
+    async def connect_without_reading(self):
+        """Return the socket of a caller for which the system holds few bytes."""
+        host, _, port = self.entry.server.address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        return sock
+
     def build_request(self, path, *, method="GET", key=KEY, body=b"", **headers):
         self._next_id += 1
         request_headers = {
--- a/toucanwood/gateway/tests/test_large_responses.py
+++ b/toucanwood/gateway/tests/test_large_responses.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import gc
-import socket
 
 from aiohttp.streams import StreamReader
 
@@ -175,16 +174,6 @@
     run_scenario(scenario, ScriptedTarget("t-1"), link_bytes_per_s=600_000)
 
 
-async def connect_without_reading(harness):
-    """Return a connection of a caller for which the system holds few bytes."""
-    host, _, port = harness.entry.server.address.rpartition(":")
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    return sock
-
-
 # Guards against an entry that exceeds its memory, and loses the requests of all
 # callers, because many callers don't read their responses.
 def test_unread_responses_are_bounded_and_further_requests_are_refused():
@@ -195,7 +184,7 @@
         other = await harness.connect()
         sockets = []
         for _ in range(12):
-            sock = await connect_without_reading(harness)
+            sock = await harness.connect_without_reading()
             sockets.append(sock)
             for _ in range(8):
                 request = harness.build_request("/large/1", **UNHURRIED)
@@ -231,7 +220,7 @@
         return sum(type(item) is StreamReader for item in gc.get_objects())
 
     async def scenario(harness):
-        sock = await connect_without_reading(harness)
+        sock = await harness.connect_without_reading()
         request = harness.build_request("/large/1", **{NAMES.remaining_ms: "400"})
         gc.collect()
         gc.disable()
--- a/toucanwood/gateway/tests/test_start_and_stop.py
+++ b/toucanwood/gateway/tests/test_start_and_stop.py
@@ -15,6 +15,9 @@
     run_scenario,
 )
 
+GRACE_S = 4.0
+RESPONSES = 8
+RESPONSE_BYTES = 900_000
 # Header of a caller that waits for so short a time that its request is hardly held.
 SHORT_TIME = {NAMES.remaining_ms: "60"}
 
@@ -152,6 +155,32 @@
     run_scenario(scenario, *targets)
 
 
+# Guards against responses that a planned stop cuts long before its end, because their
+# callers read them slowly.
+def test_stop_waits_for_callers_that_read_their_responses():
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        sock = await harness.connect_without_reading()
+        # More than the system buffers for a connection.
+        for _ in range(RESPONSES):
+            await loop.sock_sendall(sock, harness.build_request("/safe/x"))
+        await asyncio.sleep(0.5)
+        stop = asyncio.ensure_future(harness.entry.stop())
+        # The entry has stopped listening and has no request any more.
+        await asyncio.sleep(0.75 * GRACE_S)
+        received = bytearray()
+        while part := await loop.sock_recv(sock, 64 * 1024):
+            received += part
+        sock.close()
+        assert received.count(b"HTTP/1.1 200") == RESPONSES
+        assert len(received) > RESPONSES * RESPONSE_BYTES
+        await stop
+
+    large = respond(body=bytes(RESPONSE_BYTES))
+    targets = [ScriptedTarget(f"t-{n}", *[large] * RESPONSES) for n in range(4)]
+    run_scenario(scenario, *targets, stop_grace_s=GRACE_S)
+
+
 # Guards against requests that are passed on late in a planned stop and cut at its end,
 # among them requests that must not run twice.
 def test_request_that_could_outlast_a_stop_is_refused_as_not_run():
--- a/toucanwood/httpd/_connection.py
+++ b/toucanwood/httpd/_connection.py
@@ -161,6 +161,12 @@
         """Return whether no request runs and no part of a header has arrived."""
         return not self._responders and not self._header_bytes
 
+    def is_busy(self) -> bool:
+        """Return whether a request runs or arrives, or a response is being sent."""
+        transport = self.transport
+        has_unsent = transport is not None and transport.get_write_buffer_size() > 0
+        return has_unsent or not self.is_idle()
+
     def is_last_response(self, responder: Responder) -> bool:
         """Return whether this response is the last one of the connection.
 
@@ -224,9 +230,9 @@
         """
         transport = self.transport
         is_dropping = self._drop_task is not None and not self._drop_task.done()
-        if not self.is_idle() or is_dropping or self._is_closing or transport is None:
+        if self.is_busy() or is_dropping or self._is_closing or transport is None:
             return False
-        if transport.get_write_buffer_size() or _has_unread_bytes(transport):
+        if _has_unread_bytes(transport):
             return False
         self._is_closing = True
         transport.close()
--- a/toucanwood/httpd/_server.py
+++ b/toucanwood/httpd/_server.py
@@ -60,8 +60,8 @@
             connection.close_idle()
 
     def count_busy(self) -> int:
-        """Return the number of connections with a running request."""
-        return sum(not item.is_idle() for item in self.connections)
+        """Return the number of connections with a request or an unsent response."""
+        return sum(item.is_busy() for item in self.connections)
 
     async def stop(self) -> None:
         """Stop listening, wait until responses are sent, and reset the rest.
