Buffer short responses also while memory is scarce

With more than half of the body budget in use, every response was streamed from its first part on, so a truncated response of a few bytes could no longer be retried, and its caller got half of it. The first 16 KiB are buffered always, as on slow links.

test_short_responses_are_retried_while_memory_is_scarce fails without the change.

--- a/toucanwood/gateway/_exchange.py
+++ b/toucanwood/gateway/_exchange.py
@@ -19,6 +19,10 @@
 # Maximum bytes of the body of a skipped response. A body without end would be read to
 # the deadline of the request.
 MAX_FOREIGN_BODY_BYTES = 1024 * 1024
+# Bytes of a response that are buffered even if memory is scarce or the link is slow.
+# Aborting a response that is already being streamed when its route's timeout ends would
+# also lose the responses that follow on the caller's connection.
+MIN_BUFFER_BYTES = 16 * 1024
 # Longest body that is joined with its head for one write; a join of a longer one would
 # take as much memory again.
 MAX_JOINED_BYTES = 64 * 1024
@@ -192,7 +196,7 @@
         chunks: list[bytes] = []
         size = 0
         may_continue = True
-        while size <= buffer_bytes and may_continue:
+        while size <= buffer_bytes and (may_continue or size <= MIN_BUFFER_BYTES):
             chunk = await self.read_chunk()
             if not chunk:
                 self.is_fully_buffered = True
--- a/toucanwood/gateway/_forwarder.py
+++ b/toucanwood/gateway/_forwarder.py
@@ -395,12 +395,7 @@
             context.timeout.reschedule(min(latest, 1e12))
         length = exchange.get_content_length()
         self._large_responses.record_declared_length(context, length)
-        await responder.start(
-            response_head.code,
-            response_head.reason,
-            headers,
-            length,
-        )
+        await responder.start(response_head.code, response_head.reason, headers, length)
         chunk, exchange.buffered_body = exchange.buffered_body, b""
         try:
             while chunk:
--- a/toucanwood/gateway/_instance.py
+++ b/toucanwood/gateway/_instance.py
@@ -10,7 +10,7 @@
 from toucanwood.fleet import FleetView
 from toucanwood.gateway._admission import Admission
 from toucanwood.gateway._dispatcher import Dispatcher
-from toucanwood.gateway._exchange import compute_connect_timeout
+from toucanwood.gateway._exchange import MIN_BUFFER_BYTES, compute_connect_timeout
 from toucanwood.gateway._feed_client import FeedClient
 from toucanwood.gateway._forwarder import Forwarder
 from toucanwood.gateway._handler import RequestHandler
@@ -46,10 +46,6 @@
 # caller gets its first byte, so that the request can be retried if the response is
 # truncated.
 BUFFER_TIME_S = 0.01
-# Maximum size of a response that is buffered whatever its transfer time. Aborting a
-# response that is already being streamed when its route's timeout ends would also lose
-# the responses that follow on the caller's connection.
-MIN_BUFFER_BYTES = 16 * 1024
 MAX_BUFFER_BYTES = 1024 * 1024
 # Fractions of the grace time of a stop. Until the first, all requests are accepted, and
 # until the second, those whose deadline is before the third, at which running requests
--- a/toucanwood/gateway/tests/test_large_responses.py
+++ b/toucanwood/gateway/tests/test_large_responses.py
@@ -236,3 +236,20 @@
             sock.close()
 
     run_scenario(scenario, ScriptedTarget("t-1", respond(body=bytes(5_000_000))))
+
+
+# Guards against short responses that can't be retried, since they are streamed while
+# memory is scarce.
+def test_short_responses_are_retried_while_memory_is_scarce():
+    async def scenario(harness):
+        # Of the two attempts, only the first gets a truncated response.
+        script = [respond(body=b"who", length=5, keep=False)]
+        for target in harness.targets:
+            target.script = script
+        budget = harness.entry.body_budget
+        budget.used_bytes = int(budget.limit_bytes * 0.9)
+        status, _, body = await harness.send("/safe/x")
+        assert (status, body) == (200, b"whole")
+        assert len(harness.received) == 2
+
+    run_scenario(scenario, ScriptedTarget("t-1"), ScriptedTarget("t-2"))
--- a/toucanwood/httpd/_body_budget.py
+++ b/toucanwood/httpd/_body_budget.py
@@ -32,7 +32,7 @@
     """
 
     limit_bytes: int = DEFAULT_BODY_MEMORY_BYTES
-    # Memory for request bodies.
+    # Memory that requests in progress have claimed.
     used_bytes: int = 0
     _holders: set[ResponseHolder] = attrs.field(factory=set)
 
