--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,7 +1,6 @@
 """One soak run: load, configuration changes and faults, all drawn from a seed."""
 
 import asyncio
-import contextlib
 import itertools
 import json
 import random
@@ -11,6 +10,7 @@
 
 from soak._callers import CHUNK_BYTES, RefusedCaller
 from soak._evacuations import EvacuationOperator
+from soak._faults import FaultInjector
 from soak._fleet import Fleet
 from soak._history import History
 from soak._http import send_json, send_request
@@ -33,9 +33,6 @@
 ROUTE_TYPES = ("safe", "safe", "unsafe", "unsafe", "download")
 # Bytes of the bodies of requests.
 BODY_BYTES = (0, 5, 5, 5, 100_000, 300_000)
-# Fraction of faults that hit network links; the others hit processes and disks.
-LINK_FAULT_FRACTION = 0.4
-DISK_FAULTS = ("lose_disk", "tear_write")
 START_TIMEOUT_S = 20.0
 MEMORY_CHECK_INTERVAL_S = 0.05
 # Time that the fleet has to recover after the last fault.
@@ -87,16 +84,16 @@
         self._history = History(API_KEY, ORGANISATION)
         self._targets = []
         self._proxies = {}
-        self._has_lost_disk = False
-        self._faults = []
         self._fault_times = FaultTimes()
         self._evacuations = EvacuationOperator(self._fleet, self._history, self._rng)
         # The instances at both ends of each proxy between instances, by its name.
         self._link_ends = {}
+        self._faults = FaultInjector(
+            self._fleet, self._proxies, self._link_ends, self._rng, self._fault_times
+        )
         self._request_numbers = itertools.count(1)
         self._revision = 0
         self._is_after_recovery_period = False
-        self._is_fault_phase_over = False
 
     async def run_scenario(self):
         """Return the result; the log files are kept if an invariant was broken."""
@@ -133,7 +130,11 @@
             response is not None and response.status == 200 for response in responses
         )
         return RunResult(
-            self._seed, violations, self._faults, len(self._history.responses), served
+            self._seed,
+            violations,
+            self._faults.descriptions,
+            len(self._history.responses),
+            served,
         )
 
     async def _start_proxies(self):
@@ -287,9 +288,9 @@
         watcher = asyncio.create_task(self._watch_memory())
         operator = asyncio.create_task(self._run_operator())
         signals = asyncio.create_task(self._change_signals())
-        faults = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
+        faults = [asyncio.create_task(self._faults.run()) for _ in range(2)]
         await asyncio.sleep(self._fault_duration_s)
-        self._is_fault_phase_over = True
+        self._faults.is_over = True
         await asyncio.gather(*faults)
         for task in disturbers:
             task.cancel()
@@ -363,83 +364,6 @@
             else:
                 await self._read_config()
 
-    async def _inject_faults(self):
-        """Inject faults one after another; two tasks run this loop concurrently."""
-        while not self._is_fault_phase_over:
-            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
-            if self._rng.random() < LINK_FAULT_FRACTION:
-                await self._inject_link_fault()
-                continue
-            names = [*self._fleet.controllers, *self._fleet.entries]
-            name = self._rng.choice(names)
-            if name not in self._fleet.processes:
-                continue
-            kind = self._rng.choice(["kill", "terminate", "pause", *DISK_FAULTS])
-            if kind in DISK_FAULTS and not self._is_disk_fault_allowed(kind, name):
-                continue
-            self._faults.append(f"{kind} {name}")
-            begin = time.monotonic()
-            with contextlib.suppress(KeyError):
-                await self._inject_process_fault(kind, name)
-            self._fault_times.record(name, begin, time.monotonic())
-
-    async def _inject_link_fault(self):
-        name = self._rng.choice(sorted(self._proxies))
-        proxy = self._proxies[name]
-        kind = self._rng.choice(
-            ["reset", LinkFault.DELAY, LinkFault.SILENCE, LinkFault.ONE_WAY]
-        )
-        self._faults.append(f"{kind} link of {name}")
-        begin = time.monotonic()
-        if kind == "reset":
-            proxy.reset_connections()
-        else:
-            proxy.set_fault(kind)
-            await asyncio.sleep(self._rng.uniform(0.2, 2.5))
-            proxy.set_fault(LinkFault.NONE)
-        # The proxies and the targets number their names alike.
-        for end in self._link_ends.get(name, [name.replace("target-", "i-")]):
-            self._fault_times.record(end, begin, time.monotonic())
-
-    def _is_disk_fault_allowed(self, kind, name):
-        """Return whether the fleet has to tolerate this disk fault.
-
-        One of the three controllers may lose its disk. A second loss is tolerated only
-        after the group has repaired the first one, and the run does not wait for that.
-        """
-        if name not in self._fleet.controllers:
-            return False
-        if kind == "lose_disk":
-            if self._has_lost_disk:
-                return False
-            self._has_lost_disk = True
-        return True
-
-    async def _inject_process_fault(self, kind, name):
-        duration_s = self._rng.uniform(0.2, 2.5)
-        if kind == "pause":
-            process = self._fleet.processes[name]
-            self._fleet.pause(name)
-            await asyncio.sleep(duration_s)
-            if self._fleet.processes.get(name) is process:
-                self._fleet.resume(name)
-            return
-        stop_process = (
-            self._fleet.terminate if kind == "terminate" else self._fleet.kill
-        )
-        with contextlib.suppress(KeyError):
-            self._fleet.resume(name)
-        await asyncio.to_thread(stop_process, name)
-        if kind == "lose_disk":
-            self._fleet.delete_data_dir(name)
-        elif kind == "tear_write":
-            self._fleet.append_torn_write(
-                name, self._rng.randbytes(self._rng.randint(1, 40))
-            )
-        await asyncio.sleep(duration_s)
-        if name not in self._fleet.processes:
-            self._fleet.start(name)
-
 
 def run_seed(seed, fault_duration_s):
     """Run one seed and return its result."""
