--- a/toucanwood/httpd/_connection_limit.py
+++ b/toucanwood/httpd/_connection_limit.py
@@ -30,7 +30,7 @@
 
 
 class ClosableConnection(Protocol):
-    """A connection that can be closed while it is idle."""
+    """A connection that can be closed while it is idle; times are of the event loop."""
 
     idle_since: float
 
@@ -106,7 +106,7 @@
             connection = next(iter(self._idle), None)
             if connection is None or connection.idle_since > latest:
                 return False
-            # A connection in use gets its place back when it becomes idle again.
+            # A connection in use gets its place back behind its next response.
             del self._idle[connection]
             if connection.close_unused():
                 self._open.discard(connection)
