Don't take a group for stable while its connections are being reset

Trace: all links were bad until 48.0 s, and from 48.4 to 53.8 s connections between controllers ended every 2 ms. The fault was recorded as a disturbance at its begin and its end only, so from 51.4 s on the check counted the group as stable in the middle of it.

Each reset is a disturbance now.

--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -337,6 +337,7 @@
         while self._now() < until:
             sender, receiver = self._rng.sample(self._fleet.controller_names, 2)
             self._fleet.network.reset(sender, receiver)
+            self._disturb_group()
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_RESET_PAUSE_S))
 
     async def _fill_disk(self, duration_s):
--- a/soak/tests/test_schedules.py
+++ b/soak/tests/test_schedules.py
@@ -9,6 +9,8 @@
     # The leader ended while a follower stored a snapshot; its state stayed behind.
     (50060, 40.0),
     (50091, 40.0),
+    # Connections were reset all the time while the check took the group for stable.
+    (440127, 40.0),
 )
 
 
