Show that a leave is acknowledged and lost

A controller whose state doesn't hold a new server yet acknowledges its DELETE without an order; the fronts send it requests until it counts as silent. Nothing is fixed here.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -412,12 +412,13 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listen and begin to register."""
+    async def start(self, *, beats: bool = True) -> None:
+        """Listen; with `beats`, register and go on sending heartbeats."""
         self._server = await asyncio.start_server(self._serve, self.host, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
-        self._tasks.append(asyncio.create_task(self._beat_forever()))
+        if beats:
+            self._tasks.append(asyncio.create_task(self._beat_forever()))
 
     async def stop(self) -> None:
         """Stop listening and beating."""
