--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -59,6 +59,25 @@
     "ttl_max_s": 5,
     "max_region_shift": 0.15,
 }
+# What differs in `grown/retiro-cintas-grown`.
+GROWN_BOUNDS = {
+    **BOUNDS,
+    "contact_ms": 4000,
+    "catch_up_s": 6,
+    "drain_ms": 2500,
+    "config_apply_ms": 2500,
+    "retry_slack": 158,
+    "cold_slack": 8,
+}
+LIMITS = {
+    "cpu_share": 0.86,
+    "cpu_cores": 1,
+    "memory_mb": 300,
+    "max_fds": 4100,
+    "link_mbps": 1000.0,
+}
+GROWN_LIMITS = {**LIMITS, "cpu_share": 0.43, "memory_mb": 200, "link_mbps": 3.5}
+CORE_LIMITS = {**LIMITS, "cpu_share": 0.645, "cpu_cores": 2, "memory_mb": 296}
 
 
 class NotRun(Exception):
@@ -130,11 +149,11 @@
         *,
         fronts: list[str],
         cores: list[str],
-        link_mbps: float = 1000.0,
+        is_grown: bool = False,
     ) -> None:
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
-        self._link_mbps = link_mbps
+        self._is_grown = is_grown
         net = f"127.{random.randrange(1, 250)}.{random.randrange(1, 250)}"
         self.machines = [
             Machine(f"core-{zone}-{i}", "core", zone, f"{net}.{10 + i}")
@@ -244,19 +263,19 @@
             }
         )
         listen["ready"] = f"{address}:{self.ready_port}"
+        limits = GROWN_LIMITS if self._is_grown else LIMITS
+        if machine.role == "core":
+            limits = CORE_LIMITS
         tables: dict[str, dict[str, Any]] = {
             "zones": dict(ZONES),
             "listen": listen,
-            "limits": {
-                "cpu_share": 0.86,
-                "cpu_cores": 1,
-                "memory_mb": 300,
-                "max_fds": 4100,
-                "link_mbps": self._link_mbps,
-                "disk_mb": 0 if machine.role == "front" else 256,
+            "limits": {**limits, "disk_mb": 0 if machine.role == "front" else 256},
+            "fault_tolerance": {
+                "machines": 2 if self._is_grown else 1,
+                "zones": 1,
+                "regions": 1,
             },
-            "fault_tolerance": {"machines": 1, "zones": 1, "regions": 1},
-            "bounds": BOUNDS,
+            "bounds": GROWN_BOUNDS if self._is_grown else BOUNDS,
         }
         lines = [f"{key} = {_format_value(value)}" for key, value in values.items()]
         for name, table in tables.items():
